--- /dev/null
+++ b/cmd/kumquatlab/load.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/lab/load"
+	"kumquatreel.example/kumquatreel/internal/stand/sample"
+	"kumquatreel.example/kumquatreel/internal/wire/caller"
+	"kumquatreel.example/kumquatreel/internal/wire/client"
+	"kumquatreel.example/kumquatreel/internal/wire/netio"
+)
+
+const (
+	maxLoadTime = 10 * time.Minute
+	maxLoadRate = 20000
+	loadSlack   = 10 * time.Second
+)
+
+type loadCommand struct {
+	Seeds  []string      `long:"seed-address" required:"yes" description:"address of an entry VM; may be given several times"`
+	Team   string        `long:"team" default:"team0" description:"team; its example key is used"`
+	Route  string        `long:"route" default:"search" description:"route"`
+	Record string        `long:"record" description:"record, for a route that is not idempotent"`
+	Rate   float64       `long:"rate" default:"20" description:"requests per second"`
+	For    time.Duration `long:"for" default:"5s" description:"how long to send"`
+}
+
+// Execute sends the load and prints what came back.
+func (c *loadCommand) Execute([]string) error {
+	if c.Rate <= 0 || c.Rate > maxLoadRate || c.For <= 0 || c.For > maxLoadTime {
+		return errors.Newf("load: the rate must be above 0 and at most %d, the time above 0 and at most %v", maxLoadRate, maxLoadTime)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.For+loadSlack)
+	defer cancel()
+	team := ident.Team(c.Team)
+	cl, closeIdle := client.New(netio.TCP{}, c.Seeds, team, sample.Key(team))
+	defer closeIdle()
+	r := load.NewRecorder()
+	load.Run(ctx, cl, load.Plan{
+		Query: caller.Query{Route: ident.Route(c.Route), Record: c.Record}, Rate: c.Rate, For: c.For,
+	}, r)
+	raw, err := json.MarshalIndent(r.Result(), "", "  ")
+	if err != nil {
+		return errors.Errorf("load: %w", err)
+	}
+	fmt.Println(string(raw))
+	return nil
+}
--- /dev/null
+++ b/cmd/kumquatreel/caller.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/wire/caller"
+	"kumquatreel.example/kumquatreel/internal/wire/client"
+	"kumquatreel.example/kumquatreel/internal/wire/netio"
+)
+
+const maxPage = 16 << 20
+
+type queryCommand struct {
+	Seeds   []string      `long:"seed" required:"yes" description:"address of an entry VM; may be given several times"`
+	Team    string        `long:"team" description:"team, for the directory"`
+	Key     string        `long:"key" env:"KUMQUATREEL_KEY" description:"the team's key; better given in the environment"`
+	Route   string        `long:"route" required:"yes" description:"route"`
+	Record  string        `long:"record" description:"record, for a route that is not idempotent"`
+	Body    string        `long:"body" default:"{}" description:"body in JSON"`
+	Ticket  bool          `long:"ticket" description:"get a ticket first, so that a repeat cannot run twice"`
+	Timeout time.Duration `long:"timeout" default:"5s" description:"time for the whole exchange"`
+}
+
+// Execute sends one request and prints the answer.
+func (c *queryCommand) Execute([]string) error {
+	if !json.Valid([]byte(c.Body)) {
+		return errors.New("query: the body is not JSON")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	cl, closeIdle := client.New(netio.TCP{}, c.Seeds, ident.Team(c.Team), c.Key)
+	defer closeIdle()
+	q := caller.Query{Route: ident.Route(c.Route), Record: c.Record, Body: json.RawMessage(c.Body)}
+	if c.Ticket {
+		tickets, err := cl.Tickets(ctx, 1)
+		if err != nil {
+			return errors.Errorf("query: %w", err)
+		}
+		q.Ticket = tickets.Tickets[0]
+	}
+	answer, err := cl.Query(ctx, q)
+	if err != nil {
+		return errors.Errorf("query: %w", err)
+	}
+	return printJSON(answer)
+}
+
+type statusCommand struct {
+	Operator string `long:"operator" required:"yes" description:"a VM's address for operators"`
+}
+
+// Execute prints a VM's status.
+func (c *statusCommand) Execute([]string) error { return printPage(c.Operator, "/status") }
+
+type explainCommand struct {
+	Operator string `long:"operator" required:"yes" description:"a VM's address for operators"`
+	Args     struct {
+		Request string `positional-arg-name:"REQUEST" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints what happened to a request.
+func (c *explainCommand) Execute([]string) error {
+	return printPage(c.Operator, "/requests/"+c.Args.Request)
+}
+
+func printPage(address, path string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	t, closeIdle := netio.Transport(netio.TCP{}, 1)
+	defer closeIdle()
+	var page json.RawMessage
+	if err := netio.Get(ctx, &http.Client{Transport: t}, address, path, &page, maxPage); err != nil {
+		return errors.Errorf("ask %s: %w", address, err)
+	}
+	return printJSON(page)
+}
+
+func printJSON(v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Errorf("print: %w", err)
+	}
+	if _, err := fmt.Fprintln(os.Stdout, string(raw)); err != nil {
+		return errors.Errorf("print: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/kumquatreel/check.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/conf/config"
+	"kumquatreel.example/kumquatreel/internal/conf/jsonc"
+)
+
+type checkCommand struct {
+	Kind string `long:"kind" choice:"settings" choice:"configuration" choice:"vms" default:"settings" description:"what the files hold"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute names every fault in the files and fails when there is one.
+func (c *checkCommand) Execute([]string) error {
+	bad := 0
+	for _, file := range c.Args.Files {
+		err := c.check(file)
+		if err == nil {
+			fmt.Printf("%s: sound\n", file)
+			continue
+		}
+		bad++
+		var faults jsonc.FaultErrors
+		if !errors.As(err, &faults) {
+			fmt.Printf("%s: %v\n", file, err)
+			continue
+		}
+		for _, f := range faults {
+			fmt.Printf("%s: %s\n", file, f)
+		}
+	}
+	if bad > 0 {
+		return errors.Newf("%d of %d files have faults", bad, len(c.Args.Files))
+	}
+	return nil
+}
+
+func (c *checkCommand) check(file string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Errorf("read: %w", err)
+	}
+	switch c.Kind {
+	case "configuration":
+		_, err = catlog.Parse(1, raw)
+	case "vms":
+		_, err = catlog.ParseVMs(1, raw)
+	default:
+		_, err = config.Parse(raw)
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/kumquatreel/demo.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/node/daemon"
+	"kumquatreel.example/kumquatreel/internal/stand/backnd"
+	"kumquatreel.example/kumquatreel/internal/stand/local"
+	"kumquatreel.example/kumquatreel/internal/stand/sample"
+	"kumquatreel.example/kumquatreel/internal/wire/caller"
+	"kumquatreel.example/kumquatreel/internal/wire/client"
+)
+
+const (
+	demoLimit  = 14 * time.Second
+	demoTeam   = ident.Team("team0")
+	demoDomain = ident.Domain("west")
+	// demoSettle is how long the demo waits after a change, which is longer than the change needs.
+	demoSettle = 500 * time.Millisecond
+)
+
+type demoCommand struct {
+	Port int `long:"port" default:"17400" description:"first of the loopback ports to use"`
+}
+
+// Execute runs the demo and fails when something does not go as it should.
+func (c *demoCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoLimit)
+	defer cancel()
+	fleet, stop, err := local.Start(sample.Small(c.Port), local.Options{Network: local.TCP, Warm: true, Seed: 1})
+	if err != nil {
+		return errors.Errorf("demo: %w", err)
+	}
+	defer stop()
+	cl, closeIdle := fleet.Client(demoTeam)
+	defer closeIdle()
+	d := &demo{fleet: fleet, client: cl}
+	for _, step := range []func(context.Context) error{d.ready, d.directory, d.query, d.booking, d.domainOut, d.domainBack, d.wrongKey} {
+		if err := step(ctx); err != nil {
+			return errors.Errorf("demo: %w", err)
+		}
+	}
+	fmt.Println("done")
+	return nil
+}
+
+type demo struct {
+	fleet  *local.Fleet
+	client *client.Client
+}
+
+func (d *demo) ready(ctx context.Context) error {
+	fmt.Println("a platform, 24 backend servers and 3 entry VMs run over loopback")
+	if err := d.fleet.WaitReady(ctx); err != nil {
+		return err
+	}
+	fmt.Println("the VMs have settled on one view of the fleet")
+	return pauseDemo(ctx, 2*demoSettle)
+}
+
+func pauseDemo(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return errors.Errorf("pause: %w", ctx.Err())
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func (d *demo) directory(ctx context.Context) error {
+	dir, err := d.client.Directory(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("the directory names %d addresses and lets callers keep them for %d ms\n", len(dir.Addresses), dir.KeepMillis)
+	return nil
+}
+
+func (d *demo) query(ctx context.Context) error {
+	for range 3 {
+		answer, err := d.client.Query(ctx, caller.Query{Route: "all"})
+		if err != nil {
+			return err
+		}
+		c := answer.Coverage
+		fmt.Printf("query %s: %d of %d shards, revision %d, %.1f ms\n", answer.RequestID, c.Shards, c.ShardsTotal,
+			answer.Snapshot.Revision, float64(answer.Timing.TotalMicros)/1000)
+	}
+	return nil
+}
+
+func (d *demo) booking(ctx context.Context) error {
+	tickets, err := d.client.Tickets(ctx, 1)
+	if err != nil {
+		return err
+	}
+	q := caller.Query{Route: "book", Record: "bike-17", Ticket: tickets.Tickets[0], Body: json.RawMessage(`{"operation":"book-17"}`)}
+	for range 3 {
+		if _, err := d.client.Query(ctx, q); err != nil {
+			return err
+		}
+	}
+	runs := 0
+	d.fleet.Backends(func(_ catlog.ServerText, s *backnd.Server) { runs += s.Record().RunsByRecord["book-17"] })
+	fmt.Printf("a booking was sent three times with one ticket and ran %d time(s)\n", runs)
+	if runs != 1 {
+		return errors.Newf("the booking ran %d times", runs)
+	}
+	return nil
+}
+
+func (d *demo) domainOut(ctx context.Context) error {
+	if err := d.setDomain(ctx, catlog.DomainOut); err != nil {
+		return err
+	}
+	before := d.runsIn(demoDomain)
+	answer, err := d.client.Query(ctx, caller.Query{Route: "all"})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("failure domain %s is out: %d of %d shards, %d new runs there\n", demoDomain, answer.Coverage.Shards,
+		answer.Coverage.ShardsTotal, d.runsIn(demoDomain)-before)
+	if d.runsIn(demoDomain) != before {
+		return errors.Newf("failure domain %s got work while out", demoDomain)
+	}
+	return nil
+}
+
+func (d *demo) domainBack(ctx context.Context) error {
+	if err := d.setDomain(ctx, catlog.DomainIn); err != nil {
+		return err
+	}
+	answer, err := d.client.Query(ctx, caller.Query{Route: "all"})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("failure domain %s is back: %d of %d shards\n", demoDomain, answer.Coverage.Shards, answer.Coverage.ShardsTotal)
+	return nil
+}
+
+func (d *demo) setDomain(ctx context.Context, state catlog.DomainState) error {
+	revision := d.fleet.Publish(func(t *catlog.Text) { t.Domains[demoDomain] = state })
+	return d.fleet.WaitUntil(ctx, func(s daemon.Status) bool { return s.Revision >= revision })
+}
+
+func (d *demo) runsIn(domain ident.Domain) int {
+	n := 0
+	d.fleet.Backends(func(t catlog.ServerText, s *backnd.Server) {
+		if t.Domain == domain {
+			n += s.Record().Runs
+		}
+	})
+	return n
+}
+
+func (d *demo) wrongKey(ctx context.Context) error {
+	revision := d.fleet.Publish(func(t *catlog.Text) { t.Teams[0].Keys = nil })
+	if err := d.fleet.WaitUntil(ctx, func(s daemon.Status) bool { return s.Revision >= revision }); err != nil {
+		return err
+	}
+	_, err := d.client.Query(ctx, caller.Query{Route: "all"})
+	var refused *client.Error
+	if !errors.As(err, &refused) || !refused.NotRun() {
+		return errors.Newf("a withdrawn key was not refused: %v", err)
+	}
+	fmt.Println("the team's key was withdrawn and is refused:", refused)
+	return nil
+}
--- /dev/null
+++ b/internal/base/group/group.go
@@ -0,0 +1,52 @@
+package group
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Set is a set of comparable values; the zero value can be read but not added to.
+type Set[T comparable] map[T]struct{}
+
+// SetOf returns a set of the values given.
+func SetOf[T comparable](values ...T) Set[T] {
+	s := make(Set[T], len(values))
+	for _, v := range values {
+		s[v] = struct{}{}
+	}
+	return s
+}
+
+// Add puts v into the set and reports whether it was new.
+func (s Set[T]) Add(v T) bool {
+	if s.Has(v) {
+		return false
+	}
+	s[v] = struct{}{}
+	return true
+}
+
+// Has reports whether v is in the set.
+func (s Set[T]) Has(v T) bool {
+	_, ok := s[v]
+	return ok
+}
+
+// Clone returns a copy of the set.
+func (s Set[T]) Clone() Set[T] { return maps.Clone(s) }
+
+// Sorted returns the values of a set in ascending order.
+func Sorted[T cmp.Ordered](s Set[T]) []T { return slices.Sorted(maps.Keys(s)) }
+
+// Option is a value that may be absent; the zero value is absent.
+type Option[T any] struct {
+	value T
+	ok    bool
+}
+
+// Some returns an option that holds v.
+func Some[T any](v T) Option[T] { return Option[T]{value: v, ok: true} }
+
+// Get returns the value and whether there is one.
+func (o Option[T]) Get() (T, bool) { return o.value, o.ok }
--- /dev/null
+++ b/internal/conf/config/config.go
@@ -0,0 +1,193 @@
+package config
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/jsonc"
+)
+
+const (
+	defaultHold       = 120 * time.Second
+	defaultReclaim    = 150 * time.Second
+	defaultFresh      = 3 * time.Second
+	defaultLoan       = 2 * time.Second
+	defaultTick       = 250 * time.Millisecond
+	defaultKeep       = 2 * time.Second
+	defaultMaxBody    = 64 << 10
+	defaultMaxAnswer  = 1 << 20
+	defaultReaders    = 2
+	defaultDrainSlack = 500 * time.Millisecond
+)
+
+// Text is the form of a settings file.
+type Text struct {
+	Name            ident.VM     `json:"name"`
+	Domain          ident.Domain `json:"domain"`
+	Caller          string       `json:"caller"`
+	Inner           string       `json:"inner"`
+	Operator        string       `json:"operator"`
+	Platform        string       `json:"platform"`
+	LogLevel        string       `json:"logLevel"`
+	HoldMillis      int          `json:"holdMillis"`
+	ReclaimMillis   int          `json:"reclaimMillis"`
+	FreshMillis     int          `json:"freshMillis"`
+	LoanMillis      int          `json:"loanMillis"`
+	TickMillis      int          `json:"tickMillis"`
+	KeepMillis      int          `json:"keepMillis"`
+	MaxBodyBytes    int          `json:"maxBodyBytes"`
+	MaxAnswerBytes  int          `json:"maxAnswerBytes"`
+	ReadersByDomain int          `json:"readersByDomain"`
+}
+
+// Settings is the checked form of a settings file.
+type Settings struct {
+	text Text
+}
+
+// Load reads the settings in a file and returns jsonc.FaultErrors inside the error when they are not sound.
+func Load(path string) (Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Errorf("read settings: %w", err)
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return Settings{}, errors.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse returns the settings in text, or jsonc.FaultErrors that name everything wrong with it.
+func Parse(text []byte) (Settings, error) {
+	var t Text
+	if err := jsonc.Decode(text, &t); err != nil {
+		return Settings{}, err
+	}
+	s, faults := New(t)
+	if len(faults) > 0 {
+		return Settings{}, jsonc.Locate(text, faults)
+	}
+	return s, nil
+}
+
+// New checks settings given in the program, fills in defaults and returns every fault found.
+func New(t Text) (Settings, jsonc.FaultErrors) {
+	fill(&t)
+	var faults jsonc.FaultErrors
+	check := func(ok bool, path, format string, args ...any) {
+		if !ok {
+			faults = append(faults, jsonc.NewFault(path, format, args...))
+		}
+	}
+	check(t.Name != "", "/name", "the VM has no name")
+	check(t.Domain != "", "/domain", "the VM has no failure domain")
+	for _, a := range []struct{ path, address string }{
+		{"/caller", t.Caller}, {"/inner", t.Inner}, {"/operator", t.Operator}, {"/platform", t.Platform},
+	} {
+		host, _, err := net.SplitHostPort(a.address)
+		check(err == nil && net.ParseIP(host) != nil, a.path, "%q is not IP:port", a.address)
+	}
+	for _, n := range []struct {
+		path  string
+		value int
+	}{
+		{"/holdMillis", t.HoldMillis},
+		{"/reclaimMillis", t.ReclaimMillis},
+		{"/freshMillis", t.FreshMillis},
+		{"/loanMillis", t.LoanMillis},
+		{"/tickMillis", t.TickMillis},
+		{"/keepMillis", t.KeepMillis},
+		{"/maxBodyBytes", t.MaxBodyBytes},
+		{"/maxAnswerBytes", t.MaxAnswerBytes},
+		{"/readersByDomain", t.ReadersByDomain},
+	} {
+		check(n.value > 0, n.path, "%d is not above 0", n.value)
+	}
+	check(t.ReclaimMillis*10 >= t.HoldMillis*11, "/reclaimMillis", "%d is not at least a tenth above holdMillis", t.ReclaimMillis)
+	check(t.LoanMillis >= 4*t.TickMillis, "/loanMillis", "%d is not at least four times tickMillis", t.LoanMillis)
+	check(t.FreshMillis >= 4*t.TickMillis, "/freshMillis", "%d is not at least four times tickMillis", t.FreshMillis)
+	return Settings{text: t}, faults
+}
+
+func fill(t *Text) {
+	millis := func(p *int, d time.Duration) {
+		if *p == 0 {
+			*p = int(d / time.Millisecond)
+		}
+	}
+	count := func(p *int, n int) {
+		if *p == 0 {
+			*p = n
+		}
+	}
+	millis(&t.HoldMillis, defaultHold)
+	millis(&t.ReclaimMillis, defaultReclaim)
+	millis(&t.FreshMillis, defaultFresh)
+	millis(&t.LoanMillis, defaultLoan)
+	millis(&t.TickMillis, defaultTick)
+	millis(&t.KeepMillis, defaultKeep)
+	count(&t.MaxBodyBytes, defaultMaxBody)
+	count(&t.MaxAnswerBytes, defaultMaxAnswer)
+	count(&t.ReadersByDomain, defaultReaders)
+	if t.LogLevel == "" {
+		t.LogLevel = "info"
+	}
+}
+
+// Name returns the VM's name.
+func (s Settings) Name() ident.VM { return s.text.Name }
+
+// Domain returns the VM's failure domain.
+func (s Settings) Domain() ident.Domain { return s.text.Domain }
+
+// Caller returns the address for callers.
+func (s Settings) Caller() string { return s.text.Caller }
+
+// Inner returns the address for other VMs.
+func (s Settings) Inner() string { return s.text.Inner }
+
+// Operator returns the address for operators.
+func (s Settings) Operator() string { return s.text.Operator }
+
+// Platform returns the address of the platform.
+func (s Settings) Platform() string { return s.text.Platform }
+
+// LogLevel returns the least level that is logged.
+func (s Settings) LogLevel() string { return s.text.LogLevel }
+
+// Hold returns how long a VM keeps its claims without a majority.
+func (s Settings) Hold() time.Duration { return millis(s.text.HoldMillis) }
+
+// Reclaim returns how long a VM must have been silent before its claims go to others.
+func (s Settings) Reclaim() time.Duration { return millis(s.text.ReclaimMillis) }
+
+// Fresh returns how long a VM serves keyed requests without news.
+func (s Settings) Fresh() time.Duration { return millis(s.text.FreshMillis) }
+
+// Loan returns how long a loan lasts.
+func (s Settings) Loan() time.Duration { return millis(s.text.LoanMillis) }
+
+// Tick returns the time between exchanges.
+func (s Settings) Tick() time.Duration { return millis(s.text.TickMillis) }
+
+// Keep returns how long callers keep a directory answer.
+func (s Settings) Keep() time.Duration { return millis(s.text.KeepMillis) }
+
+// Linger returns how long a leaving VM goes on accepting.
+func (s Settings) Linger() time.Duration { return s.Keep() + defaultDrainSlack }
+
+// MaxBody returns the largest request body taken, in bytes.
+func (s Settings) MaxBody() int64 { return int64(s.text.MaxBodyBytes) }
+
+// MaxAnswer returns the largest answer taken from a backend server, in bytes.
+func (s Settings) MaxAnswer() int64 { return int64(s.text.MaxAnswerBytes) }
+
+// Readers returns how many VMs of a failure domain watch the platform.
+func (s Settings) Readers() int { return s.text.ReadersByDomain }
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/conf/config/doc.go
@@ -0,0 +1,2 @@
+// Package config reads the settings of one VM's process.
+package config
--- /dev/null
+++ b/internal/conf/jsonc/doc.go
@@ -0,0 +1,2 @@
+// Package jsonc reads JSON with comments strictly and names faults by path and line.
+package jsonc
--- /dev/null
+++ b/internal/fleet/agent/agent.go
@@ -0,0 +1,292 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/fleet/member"
+	"kumquatreel.example/kumquatreel/internal/fleet/news"
+	"kumquatreel.example/kumquatreel/internal/limit/bucket"
+	"kumquatreel.example/kumquatreel/internal/limit/lend"
+	"kumquatreel.example/kumquatreel/internal/wire/inner"
+)
+
+// loanMargin is how much longer a lender waits than a borrower uses, for clock drift.
+const loanMargin = 200 * time.Millisecond
+
+// Options are the fixed facts and spans of one VM.
+type Options struct {
+	VM          ident.VM
+	Domain      ident.Domain
+	Incarnation string
+	Hold        time.Duration
+	Reclaim     time.Duration
+	Fresh       time.Duration
+	Loan        time.Duration
+	Tick        time.Duration
+	// Work is the longest time that a part may be in progress at a backend server.
+	Work    time.Duration
+	Readers int
+}
+
+// Agent holds one VM's part in the fleet; it is driven under its owner's lock.
+type Agent struct {
+	opts     Options
+	rng      *rand.Rand
+	member   *member.Machine
+	news     news.State
+	lender   *lend.Lender
+	borrower *lend.Borrower
+	own      map[ident.Team]*bucket.Bucket
+	pools    map[ident.Team]*bucket.Pool
+	busy     map[ident.Server]int
+	warm     map[ident.Server]string
+	heard    map[ident.Server]sighting
+	loads    map[ident.VM]float64
+	load     float64
+	newer    map[ident.VM]clock.Instant
+	platform clock.Instant
+	everRead bool
+	seen     clock.Instant
+}
+
+// sighting is an owner's word that a backend server was warm.
+type sighting struct {
+	incarnation string
+	at          clock.Instant
+}
+
+// New returns the agent of a process that has just started.
+func New(now clock.Instant, opts Options, rng *rand.Rand) *Agent {
+	terms := lend.Terms{Lasts: opts.Loan, Margin: loanMargin, Work: opts.Work}
+	return &Agent{
+		opts: opts, rng: rng,
+		member: member.New(now, opts.VM, opts.Incarnation, member.Times{
+			Hold: opts.Hold, Reclaim: opts.Reclaim,
+			Drain:   terms.Lasts + terms.Work + 2*loanMargin,
+			Suspect: opts.Loan,
+		}),
+		lender:   lend.NewLender(terms),
+		borrower: lend.NewBorrower(opts.Loan),
+		own:      make(map[ident.Team]*bucket.Bucket),
+		pools:    make(map[ident.Team]*bucket.Pool),
+		busy:     make(map[ident.Server]int),
+		warm:     make(map[ident.Server]string),
+		heard:    make(map[ident.Server]sighting),
+		loads:    make(map[ident.VM]float64),
+		newer:    make(map[ident.VM]clock.Instant),
+	}
+}
+
+// Step takes one event and returns what follows from it.
+func (a *Agent) Step(now clock.Instant, ev Event) []Action {
+	a.seen = now
+	switch ev := ev.(type) {
+	case Tick:
+		return a.tick(now)
+	case PlatformRead:
+		a.platform, a.everRead = ev.Asked, true
+	case ConfigurationRead:
+		return a.configure(now, ev)
+	case ListRead:
+		return a.relist(now, ev)
+	case Asked:
+		return a.asked(now, ev.Exchange)
+	case Answered:
+		return a.answered(now, ev)
+	case Missed:
+		return a.fleet(now, member.Missed{VM: ev.VM})
+	case Leave:
+		return a.fleet(now, member.Leave{})
+	case Release:
+		return a.fleet(now, member.Release{})
+	}
+	return nil
+}
+
+// Catalog returns the configuration in force, or nil.
+func (a *Agent) Catalog() *catlog.Catalog { return a.news.Catalog() }
+
+// List returns the list of VMs in force, or nil.
+func (a *Agent) List() *catlog.VMs { return a.news.List() }
+
+// Refused returns the newest refused revision and why, zero when there is none.
+func (a *Agent) Refused() (int64, error) { return a.news.Refused() }
+
+// Member returns the membership for reading.
+func (a *Agent) Member() *member.Machine { return a.member }
+
+// Documents returns the texts in force for a peer.
+func (a *Agent) Documents() inner.Documents {
+	d := inner.Documents{Revision: a.news.Revision(), ListRevision: a.news.ListRevision()}
+	if c := a.news.Catalog(); c != nil {
+		d.Text = string(c.Bytes())
+	}
+	if l := a.news.List(); l != nil {
+		d.ListText = string(l.Bytes())
+	}
+	return d
+}
+
+// SetLoad tells the agent how busy its VM is, as a fraction.
+func (a *Agent) SetLoad(load float64) { a.load = load }
+
+// LoadOf returns how busy a VM said it was.
+func (a *Agent) LoadOf(vm ident.VM) float64 {
+	if vm == a.opts.VM {
+		return a.load
+	}
+	return a.loads[vm]
+}
+
+// Fresh reports whether the VM has heard from the platform or from a majority lately and knows of no newer configuration that it lacks.
+func (a *Agent) Fresh(now clock.Instant) bool {
+	if a.news.Catalog() == nil || a.news.List() == nil || a.behind(now) {
+		return false
+	}
+	recent := func(t clock.Instant) bool { return now.MaxSince(t) < a.opts.Fresh }
+	return a.everRead && recent(a.platform) || a.member.Contact(recent) && len(a.news.List().All()) > 1
+}
+
+// behind reports whether a peer has had a newer configuration for too long.
+func (a *Agent) behind(now clock.Instant) bool {
+	for _, since := range a.newer {
+		if now.MaxSince(since) >= a.opts.Fresh {
+			return true
+		}
+	}
+	return false
+}
+
+// Watches reports whether this VM is one of those that watch the platform.
+func (a *Agent) Watches(now clock.Instant) bool {
+	if a.news.List() == nil || a.news.Catalog() == nil || a.member.Leaving() {
+		return true
+	}
+	var near []ident.VM
+	for _, v := range a.news.List().All() {
+		if v.Domain() == a.opts.Domain && a.member.Reachable(now, v.Name()) {
+			near = append(near, v.Name())
+		}
+	}
+	for i, vm := range ident.Rank("reader:"+string(a.opts.Domain), near) {
+		if vm == a.opts.VM {
+			return i < a.opts.Readers
+		}
+	}
+	return true
+}
+
+// StaleFor reports whether nothing was heard from the platform or a majority for a span.
+func (a *Agent) StaleFor(now clock.Instant, span time.Duration) bool {
+	recent := func(t clock.Instant) bool { return now.MaxSince(t) < span }
+	read := a.everRead && recent(a.platform)
+	return !read && !a.member.Contact(recent)
+}
+
+func (a *Agent) tick(now clock.Instant) []Action {
+	out := a.fleet(now, member.Tick{})
+	a.refill(now)
+	return a.addLoans(now, a.giveBack(now, out))
+}
+
+// fleet passes an event to the membership and translates what follows.
+func (a *Agent) fleet(now clock.Instant, ev member.Event) []Action {
+	var out []Action
+	for _, act := range a.member.Step(now, ev, a.rng) {
+		switch act := act.(type) {
+		case member.Ask:
+			out = append(out, Send{VM: act.VM, Exchange: a.exchange(act.VM)})
+		case member.Renamed:
+			a.dropAll(now)
+			out = append(out, Fleet{Change: act})
+		case member.Joined, member.Left, member.Confirmed:
+			out = append(out, Fleet{Change: act})
+		}
+	}
+	return out
+}
+
+// dropAll forgets what the process held under its former name.
+func (a *Agent) dropAll(now clock.Instant) {
+	a.borrower.Clear()
+	for _, p := range a.pools {
+		p.Clear()
+	}
+	for _, b := range a.own {
+		b.Drain(now, now)
+	}
+}
+
+func (a *Agent) exchange(vm ident.VM) inner.Exchange {
+	return inner.Exchange{
+		Report:       a.member.Report(a.member.DigestOf(vm)),
+		Revision:     a.news.Revision(),
+		ListRevision: a.news.ListRevision(),
+	}
+}
+
+func (a *Agent) configure(now clock.Instant, ev ConfigurationRead) []Action {
+	changed, err := a.news.OfferCatalog(ev.Revision, ev.Text)
+	if err != nil {
+		clear(a.newer)
+		return []Action{Rejected{Reason: err}}
+	}
+	if !changed {
+		return nil
+	}
+	clear(a.newer)
+	a.refill(now)
+	return []Action{InForce{Revision: ev.Revision}}
+}
+
+func (a *Agent) relist(now clock.Instant, ev ListRead) []Action {
+	changed, err := a.news.OfferList(ev.Revision, ev.Text)
+	if err != nil {
+		return []Action{Rejected{Reason: err}}
+	}
+	if !changed {
+		return nil
+	}
+	return a.fleet(now, member.ListRead{List: a.news.List()})
+}
+
+func (a *Agent) asked(now clock.Instant, ex inner.Exchange) []Action {
+	out := a.fleet(now, member.Heard{Report: ex.Report})
+	out = append(out, a.compare(now, ex.Report.VM, ex.Revision, ex.ListRevision)...)
+	a.takeBack(now, ex)
+	reply := inner.ExchangeReply{
+		Report:       a.member.Report(ex.Report.Digest),
+		Revision:     a.news.Revision(),
+		ListRevision: a.news.ListRevision(),
+		Load:         a.load,
+		Grants:       a.grant(now, ex),
+	}
+	return append(out, Answer{Reply: reply})
+}
+
+func (a *Agent) answered(now clock.Instant, ev Answered) []Action {
+	out := a.fleet(now, member.Answered{Asked: ev.Asked, Report: ev.Reply.Report})
+	a.loads[ev.VM] = ev.Reply.Load
+	a.accept(now, ev)
+	return append(out, a.compare(now, ev.VM, ev.Reply.Revision, ev.Reply.ListRevision)...)
+}
+
+// compare notes whether a peer has newer documents and fetches them.
+func (a *Agent) compare(now clock.Instant, vm ident.VM, revision, listRevision int64) []Action {
+	refused, _ := a.news.Refused()
+	if revision > a.news.Revision() && revision > refused {
+		if _, known := a.newer[vm]; !known {
+			a.newer[vm] = now
+		}
+		return []Action{Fetch{VM: vm}}
+	}
+	delete(a.newer, vm)
+	if listRevision > a.news.ListRevision() {
+		return []Action{Fetch{VM: vm}}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/direct/doc.go
@@ -0,0 +1,2 @@
+// Package direct decides which addresses callers should use.
+package direct
--- /dev/null
+++ b/internal/fleet/news/news.go
@@ -0,0 +1,74 @@
+package news
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+)
+
+// State holds the documents in force; the zero value holds none.
+type State struct {
+	catalog *catlog.Catalog
+	list    *catlog.VMs
+	refused int64
+	reason  error
+}
+
+// Catalog returns the configuration in force, or nil.
+func (s *State) Catalog() *catlog.Catalog { return s.catalog }
+
+// List returns the list of VMs in force, or nil.
+func (s *State) List() *catlog.VMs { return s.list }
+
+// Revision returns the revision of the configuration in force, zero for none.
+func (s *State) Revision() int64 {
+	if s.catalog == nil {
+		return 0
+	}
+	return s.catalog.Revision()
+}
+
+// ListRevision returns the revision of the list in force, zero for none.
+func (s *State) ListRevision() int64 {
+	if s.list == nil {
+		return 0
+	}
+	return s.list.Revision()
+}
+
+// Refused returns the newest refused revision and why, zero when none is newer than the one in force.
+func (s *State) Refused() (int64, error) {
+	if s.refused <= s.Revision() {
+		return 0, nil
+	}
+	return s.refused, s.reason
+}
+
+// OfferCatalog puts a newer sound configuration in force, reports whether it did, and returns why a newer one was refused.
+func (s *State) OfferCatalog(revision int64, text []byte) (bool, error) {
+	if revision <= s.Revision() || revision == s.refused {
+		return false, nil
+	}
+	c, err := catlog.Parse(revision, text)
+	if err != nil {
+		if revision > s.refused {
+			s.refused, s.reason = revision, err
+		}
+		return false, errors.Errorf("configuration %d: %w", revision, err)
+	}
+	s.catalog = c
+	return true, nil
+}
+
+// OfferList puts a newer sound list in force, reports whether it did, and returns why a newer one was refused.
+func (s *State) OfferList(revision int64, text []byte) (bool, error) {
+	if revision <= s.ListRevision() {
+		return false, nil
+	}
+	v, err := catlog.ParseVMs(revision, text)
+	if err != nil {
+		return false, errors.Errorf("list of VMs %d: %w", revision, err)
+	}
+	s.list = v
+	return true, nil
+}
--- /dev/null
+++ b/internal/lab/load/load.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/wire/caller"
+	"kumquatreel.example/kumquatreel/internal/wire/client"
+)
+
+const (
+	lowestMicros  = 1
+	highestMicros = 60_000_000
+	digits        = 3
+	// MaxRequests bounds one run.
+	MaxRequests = 2_000_000
+)
+
+// Result sums up a run.
+type Result struct {
+	Sent        int                `json:"sent"`
+	Answered    int                `json:"answered"`
+	Refused     map[fault.Code]int `json:"refused"`
+	RefusedRuns int                `json:"refusedThoughMaybeRun"`
+	P50Millis   float64            `json:"p50Millis"`
+	P95Millis   float64            `json:"p95Millis"`
+	P99Millis   float64            `json:"p99Millis"`
+	MaxMillis   float64            `json:"maxMillis"`
+	Coverage    float64            `json:"meanCoverage"`
+	LeastCover  float64            `json:"leastCoverage"`
+	First       int                `json:"firstAttempts"`
+	Second      int                `json:"secondAttempts"`
+}
+
+// Extra returns the second attempts as a share of the first.
+func (r Result) Extra() float64 {
+	if r.First == 0 {
+		return 0
+	}
+	return float64(r.Second) / float64(r.First)
+}
+
+// Recorder collects results; it may be used by several goroutines at once.
+type Recorder struct {
+	mu     sync.Mutex
+	hist   *hdrhistogram.Histogram
+	result Result
+	cover  float64
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{
+		hist:   hdrhistogram.New(lowestMicros, highestMicros, digits),
+		result: Result{Refused: make(map[fault.Code]int), LeastCover: 1},
+	}
+}
+
+// Add records how one request ended after a time.
+func (r *Recorder) Add(took time.Duration, answer *caller.Answer, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.result.Sent++
+	var refused *client.Error
+	switch {
+	case err == nil:
+		r.result.Answered++
+		_ = r.hist.RecordValue(min(highestMicros, took.Microseconds()))
+		f := answer.Coverage.Fraction()
+		r.cover += f
+		r.result.LeastCover = min(r.result.LeastCover, f)
+		r.result.First += answer.Timing.FirstAttempts
+		r.result.Second += answer.Timing.SecondAttempts
+	case errors.As(err, &refused):
+		r.result.Refused[refused.Code()]++
+		if !refused.NotRun() {
+			r.result.RefusedRuns++
+		}
+	default:
+		r.result.Refused[fault.CodeInternal]++
+	}
+}
+
+// Result returns the sums so far.
+func (r *Recorder) Result() Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.result
+	millis := func(q float64) float64 { return float64(r.hist.ValueAtQuantile(q)) / 1000 }
+	out.P50Millis, out.P95Millis, out.P99Millis = millis(50), millis(95), millis(99)
+	out.MaxMillis = float64(r.hist.Max()) / 1000
+	if out.Answered > 0 {
+		out.Coverage = r.cover / float64(out.Answered)
+	}
+	return out
+}
+
+// Plan says what to send.
+type Plan struct {
+	Query caller.Query
+	Rate  float64
+	For   time.Duration
+}
+
+// Run sends requests at even intervals, whether or not earlier ones have ended, and waits for all of them.
+func Run(ctx context.Context, c *client.Client, p Plan, r *Recorder) {
+	n := min(MaxRequests, int(p.Rate*p.For.Seconds()))
+	gap := time.Duration(float64(time.Second) / p.Rate)
+	begun := time.Now()
+	var wait sync.WaitGroup
+	for i := range n {
+		if !sleepUntil(ctx, begun.Add(time.Duration(i)*gap)) {
+			break
+		}
+		wait.Go(func() {
+			at := time.Now()
+			answer, err := c.Query(ctx, p.Query)
+			r.Add(time.Since(at), answer, err)
+		})
+	}
+	wait.Wait()
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/limit/lend/lend.go
@@ -0,0 +1,164 @@
+package lend
+
+import (
+	"strconv"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Kind -text -transform=title-lower -trimprefix=Kind -output=enums.go
+
+// Kind says what a unit belongs to.
+type Kind int
+
+// The kinds of units.
+const (
+	KindSlot Kind = iota
+	KindRate
+)
+
+// Key names one unit of a resource.
+type Key struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	Unit int    `json:"unit,omitempty"`
+}
+
+// Slot returns the key of a slot of a backend server.
+func Slot(s ident.Server, unit int) Key { return Key{Kind: KindSlot, Name: string(s), Unit: unit} }
+
+// Rate returns the key of the lender's own part of a team's rate.
+func Rate(t ident.Team) Key { return Key{Kind: KindRate, Name: string(t)} }
+
+// Resource returns the text by which VMs are ranked for the unit.
+func (k Key) Resource() string {
+	return k.Kind.String() + ":" + k.Name + "#" + strconv.Itoa(k.Unit)
+}
+
+// Terms are the spans of a loan.
+type Terms struct {
+	// Lasts is how long a borrower may use a unit after it asked.
+	Lasts time.Duration
+	// Margin is how much longer the lender waits, for clock drift.
+	Margin time.Duration
+	// Work is how much longer still the lender of a slot waits, for a part in progress.
+	Work time.Duration
+}
+
+// whole returns how long the lender of a unit waits.
+func (t Terms) whole(k Key) time.Duration {
+	if k.Kind == KindSlot {
+		return t.Lasts + t.Margin + t.Work
+	}
+	return t.Lasts + t.Margin
+}
+
+// Lender records the units that a VM has lent out; it is driven under its owner's lock.
+type Lender struct {
+	terms  Terms
+	loans  map[Key]loan
+	serial int64
+}
+
+type loan struct {
+	borrower ident.Process
+	granted  clock.Instant
+	serial   int64
+}
+
+// NewLender returns a lender without loans.
+func NewLender(terms Terms) *Lender { return &Lender{terms: terms, loans: make(map[Key]loan)} }
+
+// Out reports whether a unit is lent out.
+func (l *Lender) Out(now clock.Instant, k Key) bool {
+	at, ok := l.loans[k]
+	if !ok {
+		return false
+	}
+	if now.MinSince(at.granted) >= l.terms.whole(k) {
+		delete(l.loans, k)
+		return false
+	}
+	return true
+}
+
+// Grant lends a unit that the caller holds and does not use, or renews the loan, and returns the loan's serial number.
+func (l *Lender) Grant(now clock.Instant, k Key, borrower ident.Process) (int64, bool) {
+	if l.Out(now, k) && l.loans[k].borrower != borrower {
+		return 0, false
+	}
+	l.serial++
+	l.loans[k] = loan{borrower: borrower, granted: now, serial: l.serial}
+	return l.serial, true
+}
+
+// Return ends a loan that the borrower has given back; an older serial number than the last one ends nothing.
+func (l *Lender) Return(k Key, borrower ident.Process, serial int64) bool {
+	at, ok := l.loans[k]
+	if !ok || at.borrower != borrower || at.serial != serial {
+		return false
+	}
+	delete(l.loans, k)
+	return true
+}
+
+// Until returns the instant at which an outstanding loan certainly has ended.
+func (l *Lender) Until(k Key) clock.Instant {
+	return l.loans[k].granted.Add(l.terms.whole(k))
+}
+
+// Count returns how many units are out.
+func (l *Lender) Count(now clock.Instant) int {
+	n := 0
+	for k := range l.loans {
+		if l.Out(now, k) {
+			n++
+		}
+	}
+	return n
+}
+
+// Borrower records the units that a VM has borrowed; it is driven under its owner's lock.
+type Borrower struct {
+	lasts time.Duration
+	held  map[Key]held
+}
+
+type held struct {
+	lender ident.VM
+	asked  clock.Instant
+}
+
+// NewBorrower returns a borrower without loans.
+func NewBorrower(lasts time.Duration) *Borrower {
+	return &Borrower{lasts: lasts, held: make(map[Key]held)}
+}
+
+// Got records that a unit asked for at an instant has been lent by a VM.
+func (b *Borrower) Got(k Key, lender ident.VM, asked clock.Instant) {
+	b.held[k] = held{lender: lender, asked: asked}
+}
+
+// Has reports whether a borrowed unit may still be used.
+func (b *Borrower) Has(now clock.Instant, k Key) bool {
+	h, ok := b.held[k]
+	if !ok {
+		return false
+	}
+	if now.MaxSince(h.asked) >= b.lasts {
+		delete(b.held, k)
+		return false
+	}
+	return true
+}
+
+// Due reports whether a unit should be asked for again.
+func (b *Borrower) Due(now clock.Instant, k Key) bool {
+	h, ok := b.held[k]
+	return !ok || now.MaxSince(h.asked) >= b.lasts/2
+}
+
+// Clear forgets all units.
+func (b *Borrower) Clear() { clear(b.held) }
--- /dev/null
+++ b/internal/limit/slots/slots.go
@@ -0,0 +1,271 @@
+package slots
+
+import (
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/limit/fairq"
+)
+
+const (
+	slowFactor    = 2
+	slowParts     = 4
+	latencyWeight = 0.1
+	firstBackoff  = 100 * time.Millisecond
+	lastBackoff   = 2 * time.Second
+	idleLimit     = 30 * time.Second
+)
+
+// Machine schedules the work of one backend server; it is driven under its owner's lock.
+type Machine struct {
+	queue    fairq.Queue[Part]
+	sent     map[ID]clock.Instant
+	warmth   Warmth
+	good     int
+	serverID string
+	draining bool
+	allow    float64
+	latency  time.Duration
+	slow     int
+	careful  bool
+	failures int
+	retryAt  clock.Instant
+	lastGood clock.Instant
+}
+
+// New returns a machine for a server that counts as cold.
+func New() *Machine { return &Machine{sent: make(map[ID]clock.Instant)} }
+
+// Step takes one event and returns what follows from it.
+func (m *Machine) Step(now clock.Instant, env Env, ev Event) []Action {
+	var out []Action
+	switch ev := ev.(type) {
+	case Offer:
+		out = m.offer(now, env, ev.Part)
+	case Done:
+		m.done(now, env, ev)
+	case Cancel:
+		out = m.cancel(ev.ID)
+	case Check:
+	}
+	out = append(out, m.expire(now, env)...)
+	return append(out, m.fill(now, env)...)
+}
+
+// InFlight returns the number of attempts in progress.
+func (m *Machine) InFlight() int { return len(m.sent) }
+
+// Waiting returns the number of attempts that wait.
+func (m *Machine) Waiting() int { return m.queue.Len() }
+
+// Warmth returns how far the server is trusted.
+func (m *Machine) Warmth() Warmth { return m.warmth }
+
+// Incarnation returns the server's incarnation that was seen last.
+func (m *Machine) Incarnation() string { return m.serverID }
+
+// Latency returns the usual time of a part at the server.
+func (m *Machine) Latency() time.Duration { return m.latency }
+
+// Expect tells that another VM has lately seen the server warm under an incarnation.
+func (m *Machine) Expect(now clock.Instant, incarnation string) {
+	if m.warmth == WarmthCold && m.good == 0 && m.serverID == "" && incarnation != "" {
+		m.warmth = WarmthProbing
+		m.serverID = incarnation
+		m.lastGood = now
+	}
+}
+
+// Limit returns how many attempts may be in progress now.
+func (m *Machine) Limit(now clock.Instant, env Env) int {
+	if !env.Usable || m.draining || env.Units <= 0 {
+		return 0
+	}
+	if m.warmth == WarmthWarm && now.MaxSince(m.lastGood) > idleLimit && len(m.sent) == 0 {
+		m.warmth = WarmthProbing
+	}
+	n := env.Units
+	if m.warmth != WarmthWarm || m.careful {
+		n = min(n, env.ColdUnits)
+	}
+	if m.failures > 0 {
+		if !now.Passed(m.retryAt) {
+			return 0
+		}
+		n = min(n, 1)
+	}
+	if m.allow > 0 {
+		n = min(n, max(1, int(m.allow)))
+	}
+	return n
+}
+
+func (m *Machine) offer(now clock.Instant, env Env, p Part) []Action {
+	switch {
+	case m.draining:
+		return []Action{Refuse{p.ID, fault.CodeLeaving}}
+	case !env.Usable:
+		return []Action{Refuse{p.ID, fault.CodeUnavailable}}
+	case env.Units <= 0:
+		return []Action{Refuse{p.ID, fault.CodeNotOwner}}
+	case m.Limit(now, env) == 0:
+		return []Action{Refuse{p.ID, fault.CodeUnavailable}}
+	}
+	var out []Action
+	if m.queue.Len() >= env.QueueMax {
+		longest, _ := m.queue.Longest()
+		if longest == p.Team {
+			return []Action{Refuse{p.ID, fault.CodeOverloaded}}
+		}
+		victim, _ := m.queue.DropLast(longest)
+		out = append(out, Refuse{victim.ID, fault.CodeOverloaded})
+	}
+	m.queue.Push(p.Team, p.Weight, p)
+	return out
+}
+
+func (m *Machine) cancel(id ID) []Action {
+	for range m.queue.Remove(func(p Part) bool { return p.ID == id }) {
+		return []Action{Refuse{id, fault.CodeCancelled}}
+	}
+	if _, ok := m.sent[id]; ok {
+		return []Action{Abort{id}}
+	}
+	return nil
+}
+
+// expire refuses what can no longer end in time or lost its right to run.
+func (m *Machine) expire(now clock.Instant, env Env) []Action {
+	if m.queue.Len() == 0 {
+		return nil
+	}
+	limit := m.Limit(now, env)
+	var out []Action
+	m.queue.Remove(func(p Part) bool {
+		code, drop := fault.CodeInternal, true
+		switch {
+		case m.draining:
+			code = fault.CodeLeaving
+		case limit == 0:
+			code = fault.CodeUnavailable
+		case now.Passed(p.Deadline):
+			code = fault.CodeDeadline
+		case m.latency > 0 && now.Add(m.latency).Passed(p.Deadline):
+			code = fault.CodeDeadline
+		case env.Valid != nil && !env.Valid(p.Team, p.KeyID):
+			code = fault.CodeUnauthorized
+		default:
+			drop = false
+		}
+		if drop {
+			out = append(out, Refuse{p.ID, code})
+		}
+		return drop
+	})
+	return out
+}
+
+func (m *Machine) fill(now clock.Instant, env Env) []Action {
+	var out []Action
+	for len(m.sent) < m.Limit(now, env) {
+		p, ok := m.queue.Pop()
+		if !ok {
+			break
+		}
+		m.sent[p.ID] = now
+		out = append(out, Send{p.ID})
+	}
+	return out
+}
+
+func (m *Machine) done(now clock.Instant, env Env, ev Done) {
+	if _, ok := m.sent[ev.ID]; !ok {
+		return
+	}
+	delete(m.sent, ev.ID)
+	r := ev.Result
+	if r.Incarnation != "" && r.Incarnation != m.serverID {
+		m.turnCold(r.Incarnation)
+	}
+	m.draining = m.draining || r.Draining
+	switch {
+	case r.Broken:
+		m.broken(now)
+	case r.Shed:
+		m.failures = 0
+		m.allow = max(1, m.ceiling(env)/2)
+	case r.Outcome == fault.OutcomeRan:
+		m.ran(now, env, r)
+	case r.Incarnation != "":
+		m.failures = 0
+	}
+}
+
+// broken spares a server whose connection failed: it may be down or cold.
+func (m *Machine) broken(now clock.Instant) {
+	if m.warmth == WarmthWarm {
+		m.warmth = WarmthProbing
+	}
+	m.good = 0
+	backoff := min(lastBackoff, firstBackoff<<min(m.failures, 8))
+	m.failures++
+	m.retryAt = now.Add(backoff)
+}
+
+func (m *Machine) turnCold(incarnation string) {
+	m.warmth = WarmthCold
+	m.good = 0
+	m.slow = 0
+	m.careful = false
+	m.serverID = incarnation
+	m.draining = false
+}
+
+func (m *Machine) ran(now clock.Instant, env Env, r Result) {
+	m.failures = 0
+	m.lastGood = now
+	m.good++
+	if m.allow > 0 {
+		m.allow += 1 / m.allow
+		if int(m.allow) >= env.Units {
+			m.allow = 0
+		}
+	}
+	switch m.warmth {
+	case WarmthCold:
+		if m.good >= env.WarmAfter {
+			m.warmth = WarmthWarm
+			m.latency = 0
+		}
+	case WarmthProbing:
+		m.warmth = WarmthWarm
+	case WarmthWarm:
+		m.measure(r.Latency)
+	}
+}
+
+// measure learns the usual latency, is careful after one slow part and takes a lasting jump for a cold start.
+func (m *Machine) measure(latency time.Duration) {
+	if m.latency == 0 {
+		m.latency = latency
+		return
+	}
+	m.careful = latency > slowFactor*m.latency
+	if m.careful {
+		m.slow++
+		if m.slow >= slowParts {
+			m.turnCold(m.serverID)
+		}
+		return
+	}
+	m.slow = 0
+	m.latency += time.Duration(latencyWeight * float64(latency-m.latency))
+}
+
+func (m *Machine) ceiling(env Env) float64 {
+	if m.allow > 0 {
+		return m.allow
+	}
+	return float64(env.Units)
+}
--- /dev/null
+++ b/internal/node/daemon/operator.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"net/http"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/fleet/agent"
+	"kumquatreel.example/kumquatreel/internal/node/owner"
+	"kumquatreel.example/kumquatreel/internal/wire/netio"
+)
+
+// Status is what one VM tells operators about itself.
+type Status struct {
+	VM           ident.VM                            `json:"vm"`
+	Process      ident.Process                       `json:"process"`
+	Revision     int64                               `json:"revision"`
+	ListRevision int64                               `json:"listRevision"`
+	Preset       string                              `json:"preset"`
+	Refused      string                              `json:"refusedDocument,omitempty"`
+	Fresh        bool                                `json:"fresh"`
+	Holds        bool                                `json:"holdsClaims"`
+	Settled      bool                                `json:"viewSettled"`
+	Leaving      bool                                `json:"leaving"`
+	Watches      bool                                `json:"watchesPlatform"`
+	Members      []ident.Process                     `json:"members"`
+	Domains      map[ident.Domain]catlog.DomainState `json:"domains"`
+	Tokens       map[ident.Team]float64              `json:"tokens"`
+	Lent         int                                 `json:"lentUnits"`
+	First        int64                               `json:"firstAttempts"`
+	Second       int64                               `json:"secondAttempts"`
+	Servers      []owner.ServerStatus                `json:"servers"`
+}
+
+// operatorHandler serves the interface for operators.
+func (d *Daemon) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", d.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		netio.WriteJSON(w, http.StatusOK, d.Status())
+	})
+	mux.HandleFunc("GET /requests/{id}", func(w http.ResponseWriter, r *http.Request) {
+		request := d.traces.Find(r.PathValue("id"))
+		if request == nil {
+			http.Error(w, "request not kept here", http.StatusNotFound)
+			return
+		}
+		netio.WriteJSON(w, http.StatusOK, request)
+	})
+	return mux
+}
+
+// Status returns the VM's view of itself and the fleet.
+func (d *Daemon) Status() Status {
+	s := Status{VM: d.settings.Name(), Tokens: make(map[ident.Team]float64), Servers: d.owner.Status()}
+	s.First, s.Second = d.entry.Budget().Counts()
+	d.mesh.With(func(now clock.Instant, a *agent.Agent) {
+		m := a.Member()
+		s.Process, s.Members = m.Self(), m.Members()
+		s.Fresh, s.Holds, s.Settled = a.Fresh(now), m.Holds(now), m.Settled()
+		s.Leaving, s.Watches, s.Lent = m.Leaving(), a.Watches(now), a.Lent(now)
+		docs := a.Documents()
+		s.Revision, s.ListRevision = docs.Revision, docs.ListRevision
+		if revision, err := a.Refused(); revision > 0 {
+			s.Refused = err.Error()
+		}
+		c := a.Catalog()
+		if c == nil {
+			return
+		}
+		s.Preset, s.Domains = c.Preset().Name(), c.Domains()
+		for _, t := range c.Teams() {
+			s.Tokens[t.Name()] = a.Level(now, t.Name())
+		}
+	})
+	return s
+}
--- /dev/null
+++ b/internal/node/entry/entry.go
@@ -0,0 +1,277 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/conf/config"
+	"kumquatreel.example/kumquatreel/internal/fleet/agent"
+	"kumquatreel.example/kumquatreel/internal/fleet/direct"
+	"kumquatreel.example/kumquatreel/internal/node/mesh"
+	"kumquatreel.example/kumquatreel/internal/node/metric"
+	"kumquatreel.example/kumquatreel/internal/node/owner"
+	"kumquatreel.example/kumquatreel/internal/node/trace"
+	"kumquatreel.example/kumquatreel/internal/query/hedge"
+	"kumquatreel.example/kumquatreel/internal/query/ticket"
+	"kumquatreel.example/kumquatreel/internal/wire/caller"
+	"kumquatreel.example/kumquatreel/internal/wire/netio"
+)
+
+// openTeam stands for callers of open routes.
+const openTeam ident.Team = "open"
+
+const (
+	noClass      = "none"
+	maxTickets   = 100
+	maxLimit     = 10000
+	defaultLimit = 100
+	// maxActive bounds the requests in progress on one VM.
+	maxActive = 2000
+)
+
+// Entry serves callers on one VM.
+type Entry struct {
+	settings config.Settings
+	clock    clock.Source
+	mesh     *mesh.Mesh
+	owner    *owner.Owner
+	log      *log.Logger
+	metrics  *metric.Set
+	traces   *trace.Store
+	budget   hedge.Budget
+	serial   atomic.Int64
+	active   atomic.Int64
+	prefix   string
+
+	latencyMu sync.Mutex
+	latency   map[ident.Service]*hedge.Latency
+
+	ticketMu sync.Mutex
+	book     *ticket.Book
+	rng      *rand.Rand
+}
+
+// New returns the entry of a VM; incarnation must be new with every start.
+func New(settings config.Settings, src clock.Source, m *mesh.Mesh, o *owner.Owner, logger *log.Logger, metrics *metric.Set, traces *trace.Store, incarnation string, rng *rand.Rand) *Entry {
+	process := ident.Process(string(settings.Name()) + "/" + incarnation)
+	return &Entry{
+		settings: settings, clock: src, mesh: m, owner: o, metrics: metrics, traces: traces,
+		log: logger.WithPrefix("entry"), prefix: string(settings.Name()) + "-" + incarnation + "-",
+		latency: make(map[ident.Service]*hedge.Latency),
+		book:    ticket.NewBook(process), rng: rng,
+	}
+}
+
+// Active returns the number of requests in progress.
+func (e *Entry) Active() int { return int(e.active.Load()) }
+
+// Budget returns the budget of second attempts.
+func (e *Entry) Budget() *hedge.Budget { return &e.budget }
+
+// Handler serves the interface for callers.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+caller.PathDirectory, e.directory)
+	mux.HandleFunc("POST "+caller.PathQuery, e.query)
+	mux.HandleFunc("POST "+caller.PathTickets, e.tickets)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.active.Add(1)
+		defer e.active.Add(-1)
+		if e.leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Entry) leaving() bool {
+	leaving := false
+	e.mesh.With(func(_ clock.Instant, a *agent.Agent) { leaving = a.Member().Leaving() })
+	return leaving
+}
+
+func (e *Entry) directory(w http.ResponseWriter, r *http.Request) {
+	team := ident.Team(r.URL.Query().Get("team"))
+	reply := caller.Directory{KeepMillis: int(e.settings.Keep() / time.Millisecond)}
+	e.mesh.With(func(now clock.Instant, a *agent.Agent) {
+		if a.Catalog() == nil || a.List() == nil {
+			return
+		}
+		reply.Addresses = direct.Choose(a.Catalog(), a.List(), team, direct.View{
+			Reachable: func(vm ident.VM) bool { return a.Member().Reachable(now, vm) },
+			Load:      a.LoadOf,
+		})
+	})
+	if len(reply.Addresses) == 0 {
+		e.fail(w, "", fault.New(fault.CodeUnavailable, fault.OutcomeNotSent, "no VM can be named yet").After(time.Second))
+		return
+	}
+	netio.WriteJSON(w, http.StatusOK, reply)
+}
+
+// request is one caller's request after its checks.
+type request struct {
+	id      string
+	team    ident.Team
+	keyID   string
+	query   caller.Query
+	route   *catlog.Route
+	catalog *catlog.Catalog
+	arrived clock.Instant
+	admit   time.Duration
+	trace   *trace.Request
+}
+
+func (q *request) class() string {
+	if q.route == nil {
+		return noClass
+	}
+	return q.route.Class()
+}
+
+func (e *Entry) query(w http.ResponseWriter, r *http.Request) {
+	q := &request{id: e.prefix + strconv.FormatInt(e.serial.Add(1), 36), team: openTeam, arrived: e.clock.Now()}
+	w.Header().Set(caller.HeaderRequest, q.id)
+	if f := e.check(r, q); f != nil {
+		e.refused(w, q, f)
+		return
+	}
+	if f := e.admit(r.Context(), q); f != nil {
+		e.refused(w, q, f)
+		return
+	}
+	if q.query.Ticket != "" {
+		e.ticketed(w, r, q)
+		return
+	}
+	answer, f := e.run(r.Context(), q)
+	if f != nil {
+		e.refused(w, q, f)
+		return
+	}
+	netio.WriteJSON(w, http.StatusOK, answer)
+}
+
+// check reads a request and finds its team and route.
+func (e *Entry) check(r *http.Request, q *request) *fault.Error {
+	if e.active.Load() > maxActive {
+		return fault.New(fault.CodeOverloaded, fault.OutcomeNotSent, "too many requests in progress here").After(100 * time.Millisecond)
+	}
+	if f := e.decode(r, &q.query); f != nil {
+		return f
+	}
+	q.catalog = e.mesh.Catalog()
+	if q.catalog == nil || !e.mesh.Fresh() {
+		return fault.New(fault.CodeStale, fault.OutcomeNotSent, "this VM has had no news for too long").After(time.Second)
+	}
+	q.route = q.catalog.Route(q.query.Route)
+	if q.route == nil {
+		return fault.New(fault.CodeNotFound, fault.OutcomeNotSent, "route %q is not defined", q.query.Route)
+	}
+	if !q.route.Open() {
+		if f := e.authenticate(r, q); f != nil {
+			return f
+		}
+	}
+	if !q.route.Idempotent() && q.query.Record == "" {
+		return fault.New(fault.CodeBadRequest, fault.OutcomeNotSent, "the route needs a record")
+	}
+	if q.route.Idempotent() && q.query.Ticket != "" {
+		return fault.New(fault.CodeBadRequest, fault.OutcomeNotSent, "the route takes no ticket")
+	}
+	return nil
+}
+
+func (e *Entry) decode(r *http.Request, query *caller.Query) *fault.Error {
+	if err := netio.ReadJSON(r.Body, e.settings.MaxBody(), query); err != nil {
+		if errors.Is(err, netio.ErrTooLarge) {
+			return fault.New(fault.CodeTooLarge, fault.OutcomeNotSent, "the body is longer than %d bytes", e.settings.MaxBody())
+		}
+		return fault.New(fault.CodeBadRequest, fault.OutcomeNotSent, "the body is not a query: %v", errors.UnwrapAll(err))
+	}
+	if query.Limit < 0 || query.Limit > maxLimit {
+		return fault.New(fault.CodeBadRequest, fault.OutcomeNotSent, "limit %d is not in 0 to %d", query.Limit, maxLimit)
+	}
+	if query.Limit == 0 {
+		query.Limit = defaultLimit
+	}
+	if query.DeadlineMillis < 0 {
+		return fault.New(fault.CodeBadRequest, fault.OutcomeNotSent, "the deadline is negative")
+	}
+	return nil
+}
+
+// authenticate finds the team of the key.
+func (e *Entry) authenticate(r *http.Request, q *request) *fault.Error {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return fault.New(fault.CodeUnauthorized, fault.OutcomeNotSent, "a key is needed")
+	}
+	team, id, ok := q.catalog.Authenticate(key)
+	if !ok {
+		return fault.New(fault.CodeUnauthorized, fault.OutcomeNotSent, "the key is not valid")
+	}
+	q.team, q.keyID = team.Name(), id
+	return nil
+}
+
+func (e *Entry) admit(ctx context.Context, q *request) *fault.Error {
+	q.trace = &trace.Request{ID: q.id, Team: q.team, Route: q.route.Name(), Revision: q.catalog.Revision()}
+	if q.route.Open() {
+		return nil
+	}
+	f := e.mesh.Admit(ctx, q.team)
+	q.admit = e.clock.Now().MaxSince(q.arrived)
+	return f
+}
+
+// refused ends a request without an answer.
+func (e *Entry) refused(w http.ResponseWriter, q *request, f *fault.Error) {
+	e.record(q, f)
+	e.fail(w, q.id, f)
+}
+
+func (e *Entry) record(q *request, f *fault.Error) {
+	e.metrics.Refused(q.team, q.class(), e.clock.Now().MaxSince(q.arrived), f)
+	if q.trace != nil {
+		q.trace.Result = f.Error()
+		e.traces.Keep(q.trace)
+	}
+	e.log.Debug("request refused", "request", q.id, "team", q.team, "code", f.Code(), "not run", f.Outcome().NotRun())
+}
+
+func (e *Entry) fail(w http.ResponseWriter, id string, f *fault.Error) {
+	if f.RetryAfter() > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((f.RetryAfter()+time.Second-1)/time.Second)))
+	}
+	netio.WriteJSON(w, f.Code().Status(), failure(id, f))
+}
+
+func failure(id string, f *fault.Error) caller.Failure {
+	return caller.Failure{
+		RequestID: id, Code: f.Code(), Message: f.Message(), NotRun: f.Outcome().NotRun(),
+		RetryAfterMillis: f.RetryAfter().Milliseconds(),
+	}
+}
+
+func encode(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return raw
+}
--- /dev/null
+++ b/internal/node/mesh/mesh.go
@@ -0,0 +1,354 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/conf/config"
+	"kumquatreel.example/kumquatreel/internal/fleet/agent"
+	"kumquatreel.example/kumquatreel/internal/fleet/member"
+	"kumquatreel.example/kumquatreel/internal/node/metric"
+	"kumquatreel.example/kumquatreel/internal/wire/inner"
+	"kumquatreel.example/kumquatreel/internal/wire/netio"
+)
+
+const (
+	exchangeTimeout = 500 * time.Millisecond
+	admitTimeout    = 150 * time.Millisecond
+	connsByPeer     = 64
+	// MaxWork is the longest time that a part may be in progress at a backend server.
+	MaxWork = 2 * time.Second
+)
+
+// Mesh runs the agent of one VM.
+type Mesh struct {
+	settings config.Settings
+	clock    clock.Source
+	log      *log.Logger
+	metrics  *metric.Set
+	client   *http.Client
+	wait     sync.WaitGroup
+	changed  chan struct{}
+
+	mu      sync.Mutex
+	agent   *agent.Agent
+	asking  map[ident.VM]bool
+	fetched map[ident.VM]bool
+	closed  bool
+}
+
+// New starts the agent of a VM and returns a function that stops it.
+func New(settings config.Settings, src clock.Source, network netio.Network, logger *log.Logger, metrics *metric.Set, incarnation string, rng *rand.Rand) (*Mesh, func()) {
+	transport, closeIdle := netio.Transport(network, connsByPeer)
+	m := &Mesh{
+		settings: settings, clock: src, metrics: metrics,
+		log:     logger.WithPrefix("fleet"),
+		client:  &http.Client{Transport: transport},
+		changed: make(chan struct{}, 1),
+		asking:  make(map[ident.VM]bool),
+		fetched: make(map[ident.VM]bool),
+	}
+	m.agent = agent.New(src.Now(), agent.Options{
+		VM: settings.Name(), Domain: settings.Domain(), Incarnation: incarnation,
+		Hold: settings.Hold(), Reclaim: settings.Reclaim(), Fresh: settings.Fresh(),
+		Loan: settings.Loan(), Tick: settings.Tick(), Work: MaxWork, Readers: settings.Readers(),
+	}, rng)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.wait.Go(func() { m.tickLoop(ctx) })
+	m.wait.Go(func() { m.watchLoop(ctx, keyConfiguration) })
+	m.wait.Go(func() { m.watchLoop(ctx, keyVMs) })
+	return m, func() {
+		cancel()
+		m.mu.Lock()
+		m.closed = true
+		m.mu.Unlock()
+		m.wait.Wait()
+		closeIdle()
+	}
+}
+
+// Client returns the HTTP client for other VMs.
+func (m *Mesh) Client() *http.Client { return m.client }
+
+// Changed signals after a configuration came in force.
+func (m *Mesh) Changed() <-chan struct{} { return m.changed }
+
+// With calls f with the agent under its lock.
+func (m *Mesh) With(f func(now clock.Instant, a *agent.Agent)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f(m.clock.Now(), m.agent)
+}
+
+// Catalog returns the configuration in force, or nil.
+func (m *Mesh) Catalog() *catlog.Catalog {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.agent.Catalog()
+}
+
+// Fresh reports whether the VM may serve keyed requests.
+func (m *Mesh) Fresh() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.agent.Fresh(m.clock.Now())
+}
+
+// Address returns the inner address of a VM, empty when it is not listed.
+func (m *Mesh) Address(vm ident.VM) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.address(vm)
+}
+
+func (m *Mesh) address(vm ident.VM) string {
+	if m.agent.List() == nil {
+		return ""
+	}
+	for _, v := range m.agent.List().All() {
+		if v.Name() == vm {
+			return v.Inner()
+		}
+	}
+	return ""
+}
+
+// Admit asks the home of a team for one request's token and returns a fault when it is not granted.
+func (m *Mesh) Admit(ctx context.Context, team ident.Team) *fault.Error {
+	var home ident.VM
+	var own bool
+	var retry time.Duration
+	m.With(func(now clock.Instant, a *agent.Agent) {
+		home = a.Home(now, team)
+		retry = a.RetryAfter(team)
+		if home == m.settings.Name() {
+			own = a.Take(now, team, 1)
+		}
+	})
+	if home == m.settings.Name() {
+		return limited(own, team, retry)
+	}
+	if home != "" {
+		if granted, ok := m.askHome(ctx, home, team); ok {
+			return limited(granted, team, retry)
+		}
+	}
+	m.With(func(now clock.Instant, a *agent.Agent) { own = a.Take(now, team, 1) })
+	if own {
+		return nil
+	}
+	return fault.New(fault.CodeUnavailable, fault.OutcomeNotSent, "the rate of team %s cannot be reached now", team).After(time.Second)
+}
+
+// Grant answers another VM's request for a team's tokens.
+func (m *Mesh) Grant(ask inner.Admit) inner.AdmitReply {
+	var reply inner.AdmitReply
+	m.With(func(now clock.Instant, a *agent.Agent) {
+		reply.Home = a.Home(now, ask.Team) == m.settings.Name() || a.Level(now, ask.Team) >= ask.Tokens
+		if reply.Home {
+			reply.Granted = a.Take(now, ask.Team, ask.Tokens)
+			reply.RetryMillis = int(a.RetryAfter(ask.Team) / time.Millisecond)
+		}
+	})
+	return reply
+}
+
+// Leave begins a graceful shutdown.
+func (m *Mesh) Leave() { m.step(agent.Leave{}) }
+
+// Release tells the others that this process uses nothing any more.
+func (m *Mesh) Release(ctx context.Context) {
+	m.step(agent.Release{})
+	m.tellAll(ctx)
+}
+
+func limited(granted bool, team ident.Team, retry time.Duration) *fault.Error {
+	if granted {
+		return nil
+	}
+	return fault.New(fault.CodeRateLimited, fault.OutcomeNotSent, "team %s is above its rate", team).After(retry)
+}
+
+func (m *Mesh) askHome(ctx context.Context, home ident.VM, team ident.Team) (granted, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	var reply inner.AdmitReply
+	err := netio.Post(ctx, m.client, m.Address(home), inner.PathAdmit, inner.Admit{Team: team, Tokens: 1}, &reply, inner.MaxMessage)
+	if err != nil || !reply.Home {
+		return false, false
+	}
+	return reply.Granted, true
+}
+
+func (m *Mesh) tickLoop(ctx context.Context) {
+	t := time.NewTicker(m.settings.Tick())
+	defer t.Stop()
+	for {
+		m.step(agent.Tick{})
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// step gives one event to the agent and carries out what follows.
+func (m *Mesh) step(ev agent.Event) {
+	m.mu.Lock()
+	actions := m.agent.Step(m.clock.Now(), ev)
+	m.mu.Unlock()
+	m.carryOut(actions)
+}
+
+func (m *Mesh) carryOut(actions []agent.Action) {
+	for _, act := range actions {
+		switch act := act.(type) {
+		case agent.Send:
+			m.send(act)
+		case agent.Fetch:
+			m.fetch(act.VM)
+		case agent.InForce:
+			m.metrics.Revision(act.Revision)
+			m.log.Info("configuration in force", "revision", act.Revision)
+			select {
+			case m.changed <- struct{}{}:
+			default:
+			}
+		case agent.Rejected:
+			m.metrics.DocumentRefused()
+			m.log.Error("document refused", "reason", act.Reason)
+		case agent.Fleet:
+			m.noteChange(act.Change)
+		}
+	}
+}
+
+func (m *Mesh) noteChange(change member.Action) {
+	switch change := change.(type) {
+	case member.Joined:
+		m.log.Info("process joined", "process", change.Process)
+	case member.Left:
+		m.log.Info("process left", "process", change.Process)
+	case member.Confirmed:
+		m.metrics.Members(change.Size)
+		m.log.Info("view confirmed", "size", change.Size)
+	case member.Renamed:
+		m.metrics.ClaimsLost()
+		m.log.Warn("claims lost", "reason", change.Reason, "process", change.Process)
+	}
+}
+
+// send carries one exchange, unless the last one with the same VM is still on its way.
+func (m *Mesh) send(act agent.Send) {
+	m.mu.Lock()
+	address := m.address(act.VM)
+	busy := m.asking[act.VM] || m.closed
+	if address != "" && !busy {
+		m.asking[act.VM] = true
+		m.wait.Go(func() {
+			m.exchange(context.Background(), act, address)
+			m.mu.Lock()
+			delete(m.asking, act.VM)
+			m.mu.Unlock()
+		})
+	}
+	m.mu.Unlock()
+}
+
+func (m *Mesh) exchange(ctx context.Context, act agent.Send, address string) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	asked := m.clock.Now()
+	var reply inner.ExchangeReply
+	err := netio.Post(ctx, m.client, address, inner.PathExchange, act.Exchange, &reply, inner.MaxMessage)
+	if err != nil || reply.Report.VM != act.VM {
+		m.step(agent.Missed{VM: act.VM})
+		return
+	}
+	m.step(agent.Answered{VM: act.VM, Asked: asked, Reply: reply})
+}
+
+// Exchange answers a peer's exchange.
+func (m *Mesh) Exchange(ex inner.Exchange) inner.ExchangeReply {
+	m.mu.Lock()
+	actions := m.agent.Step(m.clock.Now(), agent.Asked{Exchange: ex})
+	m.mu.Unlock()
+	var reply inner.ExchangeReply
+	for _, act := range actions {
+		if answer, ok := act.(agent.Answer); ok {
+			reply = answer.Reply
+		}
+	}
+	m.carryOut(actions)
+	return reply
+}
+
+// Documents returns the documents in force for a peer.
+func (m *Mesh) Documents() inner.Documents {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.agent.Documents()
+}
+
+func (m *Mesh) fetch(vm ident.VM) {
+	m.mu.Lock()
+	address := m.address(vm)
+	busy := m.fetched[vm] || m.closed
+	if address != "" && !busy {
+		m.fetched[vm] = true
+		m.wait.Go(func() { m.fetchFrom(vm, address) })
+	}
+	m.mu.Unlock()
+}
+
+func (m *Mesh) fetchFrom(vm ident.VM, address string) {
+	defer func() {
+		m.mu.Lock()
+		delete(m.fetched, vm)
+		m.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	var d inner.Documents
+	if err := netio.Get(ctx, m.client, address, inner.PathDocuments, &d, inner.MaxMessage); err != nil {
+		m.log.Debug("documents not fetched", "vm", vm, "reason", err)
+		return
+	}
+	m.step(agent.ConfigurationRead{Revision: d.Revision, Text: []byte(d.Text)})
+	m.step(agent.ListRead{Revision: d.ListRevision, Text: []byte(d.ListText)})
+}
+
+// tellAll makes one last exchange with every listed VM.
+func (m *Mesh) tellAll(ctx context.Context) {
+	type target struct {
+		send    agent.Send
+		address string
+	}
+	var targets []target
+	m.With(func(_ clock.Instant, a *agent.Agent) {
+		if a.List() == nil {
+			return
+		}
+		for _, v := range a.List().All() {
+			if v.Name() != m.settings.Name() {
+				ex := inner.Exchange{Report: a.Member().Report(0), Revision: a.Documents().Revision}
+				targets = append(targets, target{agent.Send{VM: v.Name(), Exchange: ex}, v.Inner()})
+			}
+		}
+	})
+	var wait sync.WaitGroup
+	for _, t := range targets {
+		wait.Go(func() { m.exchange(ctx, t.send, t.address) })
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/internal/node/metric/doc.go
@@ -0,0 +1,2 @@
+// Package metric holds the metrics of one VM.
+package metric
--- /dev/null
+++ b/internal/node/owner/backend.go
@@ -0,0 +1,200 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/limit/slots"
+	"kumquatreel.example/kumquatreel/internal/query/merge"
+	"kumquatreel.example/kumquatreel/internal/wire/inner"
+	"kumquatreel.example/kumquatreel/internal/wire/netio"
+)
+
+// The headers between an owner and a backend server.
+const (
+	HeaderRequest     = "Request-Id"
+	HeaderTeam        = "Team"
+	HeaderDeadline    = "Deadline-Micros"
+	HeaderVersion     = "Index-Version"
+	HeaderIncarnation = "Incarnation"
+	HeaderDigest      = "Content-Xxhash"
+	HeaderDraining    = "Draining"
+	HeaderPartial     = "Partial"
+	HeaderNotRun      = "Not-Run"
+)
+
+// answerGrace is how much longer than its deadline a backend server's own answer is awaited.
+const answerGrace = 100 * time.Millisecond
+
+// controlConns is the number of connections to a backend server for cancellations.
+const controlConns = 1
+
+// BackendAnswer is the body of a backend server's answer.
+type BackendAnswer struct {
+	Items []merge.Item `json:"items"`
+}
+
+// link is the connection pool to one backend server.
+type link struct {
+	address string
+	client  *http.Client
+	control *http.Client
+	close   func()
+}
+
+func newLink(n netio.Network, server *catlog.Server) *link {
+	data, closeData := netio.Transport(n, server.Service().Slots())
+	control, closeControl := netio.Transport(n, controlConns)
+	return &link{
+		address: server.Address(),
+		client:  &http.Client{Transport: data},
+		control: &http.Client{Transport: control},
+		close: func() {
+			closeData()
+			closeControl()
+		},
+	}
+}
+
+// run sends one part and returns what is known afterwards.
+func (l *link) run(ctx context.Context, job *job, remaining time.Duration, maxAnswer int64) (slots.Result, inner.PartReply) {
+	ctx, cancel := context.WithTimeout(ctx, remaining+answerGrace)
+	defer cancel()
+	reply := inner.PartReply{ID: job.part.ID}
+	req, err := l.request(ctx, job, remaining)
+	if err != nil {
+		return failed(reply, fault.OutcomeNotSent, fault.CodeInternal, slots.Result{})
+	}
+	connected, req := netio.WatchSend(req)
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return l.broken(ctx, reply, connected())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	result := slots.Result{
+		Incarnation: resp.Header.Get(HeaderIncarnation),
+		Draining:    resp.Header.Get(HeaderDraining) == "yes",
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		result.Broken = ctx.Err() == nil
+		return failed(reply, fault.OutcomeUnknown, fault.CodeUnavailable, result)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusal(reply, resp, result)
+	}
+	if err := l.decode(resp, body, job, maxAnswer, &reply); err != nil {
+		l.close()
+		return failed(reply, fault.OutcomeUnknown, fault.CodeWrongAnswer, result)
+	}
+	reply.OK = true
+	reply.Outcome = fault.OutcomeRan
+	result.Outcome = fault.OutcomeRan
+	return result, reply
+}
+
+func (l *link) broken(ctx context.Context, reply inner.PartReply, connected bool) (slots.Result, inner.PartReply) {
+	if !connected {
+		return failed(reply, fault.OutcomeNotSent, fault.CodeUnavailable, slots.Result{Broken: ctx.Err() == nil})
+	}
+	if ctx.Err() != nil {
+		return failed(reply, fault.OutcomeUnknown, fault.CodeDeadline, slots.Result{})
+	}
+	return failed(reply, fault.OutcomeUnknown, fault.CodeUnavailable, slots.Result{Broken: true})
+}
+
+func (l *link) request(ctx context.Context, job *job, remaining time.Duration) (*http.Request, error) {
+	url := "http://" + l.address + "/shards/" + string(job.part.Service) + "/" + strconv.Itoa(job.part.Shard)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(job.batch.Body))
+	if err != nil {
+		return nil, errors.Errorf("prepare part: %w", err)
+	}
+	req.Header.Set(HeaderRequest, string(job.part.ID))
+	req.Header.Set(HeaderTeam, string(job.batch.Team))
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(remaining.Microseconds(), 10))
+	req.Header.Set(HeaderVersion, strconv.Itoa(job.part.IndexVersion))
+	return req, nil
+}
+
+// refusal reads an answer other than 200; only an explicit header says that nothing ran.
+func refusal(reply inner.PartReply, resp *http.Response, result slots.Result) (slots.Result, inner.PartReply) {
+	outcome := fault.OutcomeUnknown
+	if resp.Header.Get(HeaderNotRun) == "yes" {
+		outcome = fault.OutcomeRefused
+	}
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable:
+		result.Shed = outcome == fault.OutcomeRefused && !result.Draining
+		if result.Draining {
+			return failed(reply, outcome, fault.CodeLeaving, result)
+		}
+		return failed(reply, outcome, fault.CodeOverloaded, result)
+	case http.StatusConflict:
+		return failed(reply, outcome, fault.CodeSnapshotGone, result)
+	case http.StatusGatewayTimeout:
+		return failed(reply, outcome, fault.CodeDeadline, result)
+	case http.StatusRequestTimeout:
+		return failed(reply, outcome, fault.CodeCancelled, result)
+	case http.StatusBadRequest:
+		return failed(reply, outcome, fault.CodeBadRequest, result)
+	}
+	return failed(reply, outcome, fault.CodeUnavailable, result)
+}
+
+func failed(reply inner.PartReply, outcome fault.Outcome, code fault.Code, result slots.Result) (slots.Result, inner.PartReply) {
+	reply.Outcome, reply.Code = outcome, code
+	result.Outcome = outcome
+	return result, reply
+}
+
+// decode checks that an answer is whole and belongs to the part.
+func (l *link) decode(resp *http.Response, body []byte, job *job, maxAnswer int64, reply *inner.PartReply) error {
+	if int64(len(body)) > maxAnswer {
+		return errors.Newf("answer is longer than %d bytes", maxAnswer)
+	}
+	if resp.Header.Get(HeaderRequest) != string(job.part.ID) {
+		return errors.New("answer belongs to another request")
+	}
+	if resp.Header.Get(HeaderDigest) != strconv.FormatUint(xxhash.Sum64(body), 16) {
+		return errors.New("answer is not whole")
+	}
+	version, err := strconv.Atoi(resp.Header.Get(HeaderVersion))
+	if err != nil {
+		return errors.Errorf("answer without a version: %w", err)
+	}
+	var answer BackendAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return errors.Errorf("answer is malformed: %w", err)
+	}
+	reply.Version = version
+	reply.Partial = resp.Header.Get(HeaderPartial) == "yes"
+	reply.Items = answer.Items
+	return nil
+}
+
+// cancel asks the backend server to stop a part; the part's own answer tells what became of it.
+func (l *link) cancel(ctx context.Context, id slots.ID) {
+	ctx, cancel := context.WithTimeout(ctx, answerGrace)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.address+"/cancel", nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set(HeaderRequest, string(id))
+	resp, err := l.control.Do(req)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<10))
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/internal/query/plan/doc.go
@@ -0,0 +1,2 @@
+// Package plan turns a request into the parts that answer it from one snapshot.
+package plan
--- /dev/null
+++ b/internal/query/plan/plan.go
@@ -0,0 +1,79 @@
+package plan
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+)
+
+// Part is the share of a request that one shard answers.
+type Part struct {
+	service *catlog.Service
+	shard   int
+}
+
+// Service returns the part's service.
+func (p Part) Service() *catlog.Service { return p.service }
+
+// Shard returns the number of the part's shard in the pinned layout.
+func (p Part) Shard() int { return p.shard }
+
+// Weight returns the number of documents in the part's shard.
+func (p Part) Weight() int { return p.service.Shards()[p.shard].Weight() }
+
+// Replicas returns the backend servers that hold the part's shard.
+func (p Part) Replicas() []*catlog.Server { return p.service.Shards()[p.shard].Servers() }
+
+// Plan is a request's parts, all from one snapshot.
+type Plan struct {
+	catalog *catlog.Catalog
+	route   *catlog.Route
+	parts   []Part
+	barred  []Part
+}
+
+// New plans a request of a team, which is nil on an open route; record picks the shard when the route is not idempotent.
+func New(c *catlog.Catalog, r *catlog.Route, team *catlog.Team, record string) Plan {
+	p := Plan{catalog: c, route: r}
+	for _, s := range r.Services() {
+		if !r.Idempotent() {
+			shard := xxhash.Sum64String(record) % uint64(len(s.Shards()))
+			p.add(team, Part{service: s, shard: int(shard)})
+			continue
+		}
+		for i := range s.Shards() {
+			p.add(team, Part{service: s, shard: i})
+		}
+	}
+	return p
+}
+
+func (p *Plan) add(team *catlog.Team, part Part) {
+	if team != nil && !team.MayReach(part.service.Name()) {
+		p.barred = append(p.barred, part)
+		return
+	}
+	p.parts = append(p.parts, part)
+}
+
+// Catalog returns the pinned configuration.
+func (p Plan) Catalog() *catlog.Catalog { return p.catalog }
+
+// Route returns the request's route.
+func (p Plan) Route() *catlog.Route { return p.route }
+
+// Parts returns the parts, which must not be changed.
+func (p Plan) Parts() []Part { return p.parts }
+
+// Barred returns the parts of services that the team may not reach.
+func (p Plan) Barred() []Part { return p.barred }
+
+// Versions returns the index version of each service in the snapshot.
+func (p Plan) Versions() map[ident.Service]int {
+	out := make(map[ident.Service]int, len(p.route.Services()))
+	for _, s := range p.route.Services() {
+		out[s.Name()] = s.IndexVersion()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stand/backnd/backnd.go
@@ -0,0 +1,517 @@
+package backnd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/group"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/node/owner"
+	"kumquatreel.example/kumquatreel/internal/query/merge"
+	"kumquatreel.example/kumquatreel/internal/wire/netio"
+)
+
+// KeyMark stands in every key that tests and examples use, so that a server can tell when it sees one.
+const KeyMark = "secret-"
+
+const maxBody = 1 << 20
+
+// Server is a stand-in for one backend server.
+type Server struct {
+	model Model
+
+	mu          sync.Mutex
+	rng         *rand.Rand
+	incarnation int
+	completed   int
+	inFlight    int
+	waiting     int
+	freed       chan struct{}
+	conns       int
+	draining    bool
+	frozen      chan struct{}
+	downUntil   time.Time
+	coldSeen    bool
+	fault       Fault
+	running     map[string]context.CancelFunc
+	open        map[net.Conn]struct{}
+	record      Record
+}
+
+// Fault is a way in which a server's answers are wrong.
+type Fault struct {
+	// Truncate cuts answers short on the wire.
+	Truncate bool `json:"truncate"`
+	// Partial marks answers as cut short by the server.
+	Partial bool `json:"partial"`
+	// Crossed answers with another request's id.
+	Crossed bool `json:"crossed"`
+	// DropAnswer closes the connection after the work is done.
+	DropAnswer bool `json:"dropAnswer"`
+	// Slow multiplies the service time when above zero.
+	Slow float64 `json:"slow"`
+}
+
+// New returns a cold server.
+func New(model Model) *Server {
+	s := &Server{
+		model: model, rng: rand.New(rand.NewPCG(model.Seed, xxhash.Sum64String(string(model.Name)))),
+		incarnation: 1, coldSeen: true, freed: make(chan struct{}), running: make(map[string]context.CancelFunc),
+		open: make(map[net.Conn]struct{}),
+	}
+	s.record.RunsByRecord = make(map[string]int)
+	s.record.Teams = make(map[string]int)
+	return s
+}
+
+// Name returns the server's name.
+func (s *Server) Name() ident.Server { return s.model.Name }
+
+// Warm ends the cold start.
+func (s *Server) Warm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.completed = s.model.WarmAfter
+}
+
+// TurnCold makes the server cold without warning; with newIncarnation it also breaks its connections, as a restart does.
+func (s *Server) TurnCold(newIncarnation bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turnCold(newIncarnation)
+}
+
+func (s *Server) turnCold(newIncarnation bool) {
+	s.completed = 0
+	s.coldSeen = newIncarnation
+	if !newIncarnation {
+		return
+	}
+	s.incarnation++
+	s.inFlight = 0
+	for _, stop := range s.running {
+		stop()
+	}
+	for conn := range s.open {
+		_ = conn.Close()
+	}
+}
+
+// SetDraining makes the server refuse new work and say that it leaves.
+func (s *Server) SetDraining(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = on
+}
+
+// SetVersions changes the index versions that the server can answer from.
+func (s *Server) SetVersions(versions ...int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.model.Versions = group.SetOf(versions...)
+}
+
+// SetFault makes answers wrong in a way.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Down makes the server unreachable for a span, after which it is cold.
+func (s *Server) Down(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fall(d)
+}
+
+// Freeze stops all answers until the returned function is called.
+func (s *Server) Freeze() (thaw func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ch := make(chan struct{})
+	s.frozen = ch
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.frozen == ch {
+			s.frozen = nil
+		}
+		close(ch)
+	}
+}
+
+// Record returns what the server saw so far.
+func (s *Server) Record() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record
+	r.RunsByRecord = maps.Clone(s.record.RunsByRecord)
+	r.Teams = maps.Clone(s.record.Teams)
+	return r
+}
+
+// Start serves on an address of a network and returns the address and a function that stops the server.
+func (s *Server) Start(n netio.Network, address string) (string, func(), error) {
+	l, err := n.Listen(address)
+	if err != nil {
+		return "", nil, errors.Errorf("start backend server %s: %w", s.model.Name, err)
+	}
+	h := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = h.Serve(&limited{Listener: l, server: s}) }()
+	return l.Addr().String(), func() { _ = h.Close() }, nil
+}
+
+// Handler serves parts, cancellations, the record and the switches of the stand-in.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /shards/{service}/{shard}", s.part)
+	mux.HandleFunc("POST /cancel", s.cancel)
+	mux.HandleFunc("GET /control/record", func(w http.ResponseWriter, _ *http.Request) {
+		netio.WriteJSON(w, http.StatusOK, s.Record())
+	})
+	mux.HandleFunc("POST /control/{action}", s.control)
+	return mux
+}
+
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	switch r.PathValue("action") {
+	case "warm":
+		s.Warm()
+	case "cold":
+		s.TurnCold(false)
+	case "restart":
+		s.TurnCold(true)
+	case "drain":
+		s.SetDraining(true)
+	case "fault":
+		var f Fault
+		if err := netio.ReadJSON(r.Body, maxBody, &f); err != nil {
+			http.Error(w, "malformed fault", http.StatusBadRequest)
+			return
+		}
+		s.SetFault(f)
+	case "versions":
+		var versions []int
+		if err := netio.ReadJSON(r.Body, maxBody, &versions); err != nil {
+			http.Error(w, "malformed versions", http.StatusBadRequest)
+			return
+		}
+		s.SetVersions(versions...)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Server) cancel(_ http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	stop := s.running[r.Header.Get(owner.HeaderRequest)]
+	s.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+func (s *Server) part(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return
+	}
+	s.inspect(r, body)
+	micros, _ := strconv.ParseInt(r.Header.Get(owner.HeaderDeadline), 10, 64)
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(micros)*time.Microsecond)
+	defer cancel()
+	version, _ := strconv.Atoi(r.Header.Get(owner.HeaderVersion))
+	id := r.Header.Get(owner.HeaderRequest)
+	w.Header().Set(owner.HeaderRequest, id)
+	if !s.enter(ctx, w, version) {
+		return
+	}
+	incarnation := s.begin(id, r, body, cancel)
+	done := s.work(ctx)
+	s.leave(id, incarnation, done)
+	if !done {
+		s.stopped(ctx, w, r)
+		return
+	}
+	s.answer(w, r, version)
+}
+
+// inspect looks for keys, which no server may ever see.
+func (s *Server) inspect(r *http.Request, body []byte) {
+	all := r.URL.String() + string(body)
+	for name, values := range r.Header {
+		all += name + strings.Join(values, " ")
+	}
+	if strings.Contains(all, KeyMark) {
+		s.mu.Lock()
+		s.record.KeysSeen++
+		s.mu.Unlock()
+	}
+}
+
+// enter waits for a slot or refuses the part.
+func (s *Server) enter(ctx context.Context, w http.ResponseWriter, version int) bool {
+	s.mu.Lock()
+	for {
+		w.Header().Set(owner.HeaderIncarnation, strconv.Itoa(s.incarnation))
+		if status := s.refusal(w, version); status != 0 {
+			s.mu.Unlock()
+			w.Header().Set(owner.HeaderNotRun, "yes")
+			w.WriteHeader(status)
+			return false
+		}
+		if s.inFlight < s.model.Slots {
+			s.take()
+			s.mu.Unlock()
+			return true
+		}
+		s.waiting++
+		freed := s.freed
+		s.mu.Unlock()
+		ok := wait(ctx, freed)
+		s.mu.Lock()
+		s.waiting--
+		if !ok {
+			s.record.Late++
+			s.mu.Unlock()
+			w.Header().Set(owner.HeaderNotRun, "yes")
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return false
+		}
+	}
+}
+
+// refusal returns the status of a refusal, zero for none; the lock is held.
+func (s *Server) refusal(w http.ResponseWriter, version int) int {
+	switch {
+	case s.draining:
+		w.Header().Set(owner.HeaderDraining, "yes")
+		return http.StatusServiceUnavailable
+	case time.Now().Before(s.downUntil):
+		return http.StatusServiceUnavailable
+	case !s.model.Versions.Has(version):
+		return http.StatusConflict
+	case s.inFlight >= s.model.Slots && s.waiting >= s.model.Slots:
+		s.record.Shed++
+		return http.StatusServiceUnavailable
+	}
+	return 0
+}
+
+// take uses a slot and falls over when a cold server gets more than it can bear; the lock is held.
+func (s *Server) take() {
+	s.inFlight++
+	s.record.MaxInFlight = max(s.record.MaxInFlight, s.inFlight)
+	s.record.LastStart = time.Now()
+	if s.completed < s.model.WarmAfter && s.coldSeen && s.inFlight > s.model.ColdSlots {
+		s.record.ColdOverruns++
+		s.record.Falls++
+		s.fall(s.model.FallFor)
+	}
+}
+
+func (s *Server) fall(d time.Duration) {
+	s.downUntil = time.Now().Add(d)
+	s.turnCold(true)
+}
+
+func (s *Server) begin(id string, r *http.Request, body []byte, cancel context.CancelFunc) int {
+	var request struct {
+		Operation string `json:"operation"`
+	}
+	_ = json.Unmarshal(body, &request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[id] = cancel
+	s.record.Runs++
+	s.record.Teams[r.Header.Get(owner.HeaderTeam)]++
+	if request.Operation != "" {
+		s.record.RunsByRecord[request.Operation]++
+	}
+	return s.incarnation
+}
+
+// work takes the service time and reports whether the part was finished.
+func (s *Server) work(ctx context.Context) bool {
+	s.mu.Lock()
+	d := float64(s.model.Median) * math.Exp(s.model.Spread*s.rng.NormFloat64())
+	if s.rng.Float64() < s.model.StraggleShare {
+		d *= s.model.StraggleFactor
+	}
+	if s.completed < s.model.WarmAfter {
+		d *= s.model.ColdFactor
+	}
+	if s.fault.Slow > 0 {
+		d *= s.fault.Slow
+	}
+	frozen := s.frozen
+	s.mu.Unlock()
+	if frozen != nil {
+		wait(context.Background(), frozen)
+	}
+	t := time.NewTimer(time.Duration(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) leave(id string, incarnation int, done bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, id)
+	if incarnation != s.incarnation {
+		return
+	}
+	s.inFlight--
+	if done {
+		s.completed++
+		s.coldSeen = s.completed < s.model.WarmAfter
+	}
+	close(s.freed)
+	s.freed = make(chan struct{})
+}
+
+func (s *Server) stopped(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.record.Cancelled++
+	s.mu.Unlock()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	if r.Context().Err() == nil {
+		w.WriteHeader(http.StatusRequestTimeout)
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, version int) {
+	s.mu.Lock()
+	f := s.fault
+	s.mu.Unlock()
+	raw, err := json.Marshal(owner.BackendAnswer{Items: s.items(r.PathValue("service"), r.PathValue("shard"), version)})
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if f.DropAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Crossed {
+		w.Header().Set(owner.HeaderRequest, "another")
+	}
+	if f.Partial {
+		w.Header().Set(owner.HeaderPartial, "yes")
+	}
+	w.Header().Set(owner.HeaderVersion, strconv.Itoa(version))
+	w.Header().Set(owner.HeaderDigest, strconv.FormatUint(xxhash.Sum64(raw), 16))
+	if f.Truncate {
+		raw = raw[:len(raw)/2]
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	_, _ = w.Write(raw)
+}
+
+func (s *Server) items(service, shard string, version int) []merge.Item {
+	out := make([]merge.Item, s.model.ItemsPerShard)
+	for i := range out {
+		id := fmt.Sprintf("%s-%s-%d", service, shard, i)
+		score := float64(xxhash.Sum64String(id)%1000) / 1000
+		out[i] = merge.Item{ID: id, Score: score, Body: json.RawMessage(fmt.Sprintf(`{"version":%d}`, version))}
+	}
+	return out
+}
+
+func wait(ctx context.Context, ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// limited counts connections, lets each new one cost time and closes those above the limit.
+type limited struct {
+	net.Listener
+	server *Server
+}
+
+// Accept waits for the next connection within the limit.
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, errors.Errorf("accept: %w", err)
+		}
+		if c, ok := l.server.admit(conn); ok {
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) admit(conn net.Conn) (net.Conn, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.downUntil) {
+		return nil, false
+	}
+	if s.conns >= s.model.Connections {
+		s.record.OverConnections++
+		return nil, false
+	}
+	s.conns++
+	s.record.Connections++
+	s.record.MaxConnections = max(s.record.MaxConnections, s.conns)
+	c := &counted{Conn: conn, server: s, ready: time.Now().Add(s.model.ConnectCost)}
+	s.open[c] = struct{}{}
+	return c, true
+}
+
+// counted is a connection that frees its place when it closes.
+type counted struct {
+	net.Conn
+	server *Server
+	ready  time.Time
+	once   sync.Once
+}
+
+// Read waits for the cost of the connection before the first byte.
+func (c *counted) Read(b []byte) (int, error) {
+	if d := time.Until(c.ready); d > 0 {
+		time.Sleep(d)
+	}
+	return c.Conn.Read(b)
+}
+
+// Close frees the connection's place.
+func (c *counted) Close() error {
+	c.once.Do(func() {
+		go func() {
+			c.server.mu.Lock()
+			defer c.server.mu.Unlock()
+			c.server.conns--
+			delete(c.server.open, c)
+		}()
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/stand/backnd/model.go
@@ -0,0 +1,51 @@
+package backnd
+
+import (
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/group"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+)
+
+// Model says how a server behaves.
+type Model struct {
+	Name        ident.Server
+	Slots       int
+	ColdSlots   int
+	Connections int
+	ConnectCost time.Duration
+	Median      time.Duration
+	// Spread is the standard deviation of the logarithm of the service time.
+	Spread float64
+	// StraggleShare is the share of parts that take StraggleFactor times as long.
+	StraggleShare  float64
+	StraggleFactor float64
+	// WarmAfter is how many parts end a cold start, in which parts take ColdFactor times as long.
+	WarmAfter  int
+	ColdFactor float64
+	// FallFor is how long the server is down after it was overrun.
+	FallFor time.Duration
+	// Versions are the index versions that the server can answer from.
+	Versions group.Set[int]
+	// ItemsPerShard is the number of records in an answer.
+	ItemsPerShard int
+	Seed          uint64
+}
+
+// Record is what a server saw.
+type Record struct {
+	Runs            int            `json:"runs"`
+	RunsByRecord    map[string]int `json:"runsByRecord"`
+	MaxInFlight     int            `json:"maxInFlight"`
+	MaxConnections  int            `json:"maxConnections"`
+	Connections     int            `json:"connectionsOpened"`
+	OverConnections int            `json:"overConnections"`
+	ColdOverruns    int            `json:"coldOverruns"`
+	Falls           int            `json:"falls"`
+	Shed            int            `json:"shed"`
+	Cancelled       int            `json:"cancelled"`
+	Late            int            `json:"late"`
+	KeysSeen        int            `json:"keysSeen"`
+	LastStart       time.Time      `json:"lastStart"`
+	Teams           map[string]int `json:"teams"`
+}
--- /dev/null
+++ b/internal/stand/sample/doc.go
@@ -0,0 +1,2 @@
+// Package sample makes documents, settings and stand-ins of example deployments.
+package sample
--- /dev/null
+++ b/internal/wire/caller/caller.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"encoding/json"
+
+	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/query/merge"
+)
+
+// The paths and headers of the interface.
+const (
+	PathDirectory = "/v1/directory"
+	PathQuery     = "/v1/query"
+	PathTickets   = "/v1/tickets"
+
+	HeaderRequest = "Kumquatreel-Request-Id"
+)
+
+// Directory tells a caller which addresses to use and for how long, best first.
+type Directory struct {
+	Addresses  []string `json:"addresses"`
+	KeepMillis int      `json:"keepMillis"`
+}
+
+// Query is a caller's request.
+type Query struct {
+	Route          ident.Route     `json:"route"`
+	Record         string          `json:"record,omitempty"`
+	Ticket         string          `json:"ticket,omitempty"`
+	Limit          int             `json:"limit,omitempty"`
+	DeadlineMillis int             `json:"deadlineMillis,omitempty"`
+	Body           json.RawMessage `json:"body,omitempty"`
+}
+
+// Snapshot names the one snapshot that an answer was read from.
+type Snapshot struct {
+	Revision int64                 `json:"revision"`
+	Versions map[ident.Service]int `json:"versions"`
+}
+
+// Timing tells where the time of a request went, in microseconds.
+type Timing struct {
+	TotalMicros     int64 `json:"totalMicros"`
+	AdmitMicros     int64 `json:"admitMicros"`
+	PlanMicros      int64 `json:"planMicros"`
+	SlowestMicros   int64 `json:"slowestPartMicros"`
+	MaxQueueMicros  int64 `json:"maxQueueMicros"`
+	FirstAttempts   int   `json:"firstAttempts"`
+	SecondAttempts  int   `json:"secondAttempts"`
+	SnapshotRestart bool  `json:"snapshotRestart,omitempty"`
+}
+
+// Answer is the answer to a Query.
+type Answer struct {
+	RequestID string         `json:"requestId"`
+	Snapshot  Snapshot       `json:"snapshot"`
+	Coverage  merge.Coverage `json:"coverage"`
+	Items     []merge.Item   `json:"items"`
+	Timing    Timing         `json:"timing"`
+}
+
+// Failure is the body of every error; NotRun is true only when nothing certainly ran.
+type Failure struct {
+	RequestID        string     `json:"requestId,omitempty"`
+	Code             fault.Code `json:"code"`
+	Message          string     `json:"message"`
+	NotRun           bool       `json:"notRun"`
+	RetryAfterMillis int64      `json:"retryAfterMillis,omitempty"`
+}
+
+// TicketsAsk asks for tickets.
+type TicketsAsk struct {
+	Count int `json:"count"`
+}
+
+// Tickets brings tickets and the address where they are used best.
+type Tickets struct {
+	Tickets     []string `json:"tickets"`
+	Address     string   `json:"address"`
+	ValidMillis int      `json:"validMillis"`
+}
--- /dev/null
+++ b/internal/wire/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller holds the messages between callers and the system.
+package caller
--- /dev/null
+++ b/internal/wire/inner/inner.go
@@ -0,0 +1,142 @@
+package inner
+
+import (
+	"encoding/json"
+
+	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/fleet/member"
+	"kumquatreel.example/kumquatreel/internal/limit/lend"
+	"kumquatreel.example/kumquatreel/internal/limit/slots"
+	"kumquatreel.example/kumquatreel/internal/query/merge"
+)
+
+// The paths of the protocol.
+const (
+	PathExchange  = "/inner/exchange"
+	PathDocuments = "/inner/documents"
+	PathAdmit     = "/inner/admit"
+	PathParts     = "/inner/parts"
+	PathCancel    = "/inner/cancel"
+	PathTicketed  = "/inner/ticketed"
+)
+
+// MaxMessage is the largest message taken, in bytes.
+const MaxMessage = 4 << 20
+
+// LoanAsk asks for a unit; Incarnation is set when the asker has found the backend server warm.
+type LoanAsk struct {
+	Key         lend.Key `json:"key"`
+	Incarnation string   `json:"incarnation,omitempty"`
+}
+
+// Grant lends a unit; a rate comes with its size and the tokens that move along.
+type Grant struct {
+	Key    lend.Key `json:"key"`
+	Serial int64    `json:"serial"`
+	Rate   float64  `json:"rate,omitempty"`
+	Burst  float64  `json:"burst,omitempty"`
+	Level  float64  `json:"level,omitempty"`
+}
+
+// GiveBack ends a loan early and returns the tokens left.
+type GiveBack struct {
+	Key    lend.Key `json:"key"`
+	Serial int64    `json:"serial"`
+	Level  float64  `json:"level,omitempty"`
+}
+
+// Exchange is what one VM tells and asks another.
+type Exchange struct {
+	Report       member.Report `json:"report"`
+	Revision     int64         `json:"revision"`
+	ListRevision int64         `json:"listRevision"`
+	Asks         []LoanAsk     `json:"asks,omitempty"`
+	Returns      []GiveBack    `json:"returns,omitempty"`
+}
+
+// ExchangeReply answers an Exchange.
+type ExchangeReply struct {
+	Report       member.Report `json:"report"`
+	Revision     int64         `json:"revision"`
+	ListRevision int64         `json:"listRevision"`
+	Load         float64       `json:"load"`
+	Grants       []Grant       `json:"grants,omitempty"`
+}
+
+// Documents carries the published texts from one VM to another.
+type Documents struct {
+	Revision     int64  `json:"revision"`
+	Text         string `json:"text"`
+	ListRevision int64  `json:"listRevision"`
+	ListText     string `json:"listText"`
+}
+
+// Admit asks the home of a team for tokens.
+type Admit struct {
+	Team   ident.Team `json:"team"`
+	Tokens float64    `json:"tokens"`
+}
+
+// AdmitReply says whether the tokens were there; RetryMillis tells when they may be.
+type AdmitReply struct {
+	Granted     bool `json:"granted"`
+	Home        bool `json:"home"`
+	RetryMillis int  `json:"retryMillis,omitempty"`
+}
+
+// Part is one attempt at one part.
+type Part struct {
+	ID           slots.ID      `json:"id"`
+	Server       ident.Server  `json:"server"`
+	Service      ident.Service `json:"service"`
+	Shard        int           `json:"shard"`
+	IndexVersion int           `json:"indexVersion"`
+}
+
+// Parts is a batch of attempts for one request.
+type Parts struct {
+	Request        string          `json:"request"`
+	Revision       int64           `json:"revision"`
+	Team           ident.Team      `json:"team,omitempty"`
+	KeyID          string          `json:"keyId,omitempty"`
+	Idempotent     bool            `json:"idempotent"`
+	DeadlineMicros int64           `json:"deadlineMicros"`
+	Body           json.RawMessage `json:"body,omitempty"`
+	Parts          []Part          `json:"parts"`
+}
+
+// PartReply is one line of the stream that answers a batch.
+type PartReply struct {
+	ID          slots.ID      `json:"id"`
+	Outcome     fault.Outcome `json:"outcome"`
+	Code        fault.Code    `json:"code,omitempty"`
+	Version     int           `json:"version,omitempty"`
+	Partial     bool          `json:"partial,omitempty"`
+	Items       []merge.Item  `json:"items,omitempty"`
+	QueueMicros int64         `json:"queueMicros,omitempty"`
+	RunMicros   int64         `json:"runMicros,omitempty"`
+	OK          bool          `json:"ok"`
+}
+
+// Cancel takes back attempts.
+type Cancel struct {
+	IDs []slots.ID `json:"ids"`
+}
+
+// Failure is the body of an error between VMs.
+type Failure struct {
+	Code    fault.Code    `json:"code"`
+	Outcome fault.Outcome `json:"outcome"`
+	Message string        `json:"message"`
+}
+
+// Ticketed carries a ticketed request to the VM that minted its ticket.
+type Ticketed struct {
+	Team   ident.Team      `json:"team"`
+	KeyID  string          `json:"keyId"`
+	Route  ident.Route     `json:"route"`
+	Ticket string          `json:"ticket"`
+	Record string          `json:"record"`
+	Body   json.RawMessage `json:"body,omitempty"`
+}
