agent: prove slots and rates under random faults in virtual time

Cause: the sums that loans and views promise were not shown to hold. Change: a driver of agents in virtual time (delay, loss, doubling, cuts, pauses, deaths, replacements, outages), a judge that counts real work at each server and spends tokens against one bucket for the fleet, and a promise by a lender that it begins no new work under a unit whose owner asks for it. Before: one VM had 1 of 2 units of a server for as long as the lender was busy.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -48,6 +48,7 @@
 	loads    map[ident.VM]float64
 	load     float64
 	newer    map[ident.VM]clock.Instant
+	promised map[lend.Key]clock.Instant
 	platform clock.Instant
 	everRead bool
 	seen     clock.Instant
@@ -78,6 +79,7 @@
 		heard:    make(map[ident.Server]sighting),
 		loads:    make(map[ident.VM]float64),
 		newer:    make(map[ident.VM]clock.Instant),
+		promised: make(map[lend.Key]clock.Instant),
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/agent/agent_test.go
@@ -0,0 +1,413 @@
+package agent_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/fleet/agent"
+	"kumquatreel.example/kumquatreel/internal/stand/drive"
+	"kumquatreel.example/kumquatreel/internal/stand/sample"
+)
+
+// spans are short, so that every rule comes into play within a run.
+var spans = agent.Options{
+	Hold: 4 * time.Second, Reclaim: 7 * time.Second, Fresh: 3 * time.Second,
+	Loan: time.Second, Tick: 250 * time.Millisecond, Work: 300 * time.Millisecond, Readers: 1,
+}
+
+const (
+	team  ident.Team = "team0"
+	rate             = 20.0
+	burst            = 10.0
+)
+
+// world is a fleet in virtual time with a judge of its promises.
+type world struct {
+	sim     *drive.Sim
+	deploy  sample.Deployment
+	doc     catlog.Text
+	servers []*catlog.Server
+	running map[ident.Server]int
+	level   float64
+	since   time.Duration
+	taken   float64
+	broken  string
+}
+
+func newWorld(seed uint64, vms int) *world {
+	d := sample.Small(9000)
+	d.VMs = vms
+	d.Kinds = []sample.Kind{{Prefix: "a", Count: 2, Replicas: 2, Slots: 2, ColdSlots: 1, Connections: 8}}
+	d.Routes = []catlog.RouteText{{Name: "q", Services: []string{"*"}, Idempotent: true, Class: "q", DeadlineMillis: 100}}
+	d.Teams = d.Teams[:1]
+	d.Teams[0].Rate, d.Teams[0].Burst = rate, burst
+	w := &world{sim: drive.New(seed, spans), deploy: d, doc: d.Document(), running: make(map[ident.Server]int), level: burst}
+	w.sim.Publish(w.doc)
+	w.sim.PublishList(d.List())
+	c, err := catlog.Parse(1, []byte(sample.Text(w.doc)))
+	if err != nil {
+		panic(err)
+	}
+	w.servers = c.Servers()
+	for _, vm := range d.List().VMs {
+		w.sim.Start(vm.Name, vm.Domain, 0)
+	}
+	return w
+}
+
+// judge lets every VM begin as much work as it believes it may, and counts what is in progress at each server.
+func (w *world) judge() {
+	for _, n := range w.sim.Nodes() {
+		if n.Asleep() {
+			continue
+		}
+		for _, s := range w.servers {
+			if w.sim.Rand().IntN(4) == 0 {
+				w.work(n, s)
+			}
+		}
+	}
+}
+
+func (w *world) work(n *drive.Node, s *catlog.Server) {
+	if !n.Agent.Reserve(n.Clock(), s) {
+		return
+	}
+	w.running[s.Name()]++
+	if w.running[s.Name()] > s.Service().Slots() && w.broken == "" {
+		w.broken = fmt.Sprintf("at %v server %s has %d parts in progress, the last from %s", w.sim.Now(), s.Name(), w.running[s.Name()], n.Process())
+	}
+	w.sim.After(time.Duration(w.sim.Rand().Int64N(int64(spans.Work))), func() {
+		w.running[s.Name()]--
+		n.Run(func() { n.Agent.Free(s.Name()) })
+	})
+}
+
+// take spends a team's tokens at a VM and checks them against one bucket for the whole fleet.
+func (w *world) take(n *drive.Node, tokens float64) bool {
+	if n == nil || n.Asleep() || !n.Agent.Take(n.Clock(), team, tokens) {
+		return false
+	}
+	passed := (w.sim.Now() - w.since).Seconds()
+	w.since = w.sim.Now()
+	w.level = min(burst, w.level+rate*passed) - tokens
+	w.taken += tokens
+	if w.level < -1e-6 && w.broken == "" {
+		w.broken = fmt.Sprintf("at %v team got %.3f tokens above its rate and burst, the last at %s", w.sim.Now(), -w.level, n.Process())
+	}
+	return true
+}
+
+func (w *world) list(keep func(ident.VM) bool) catlog.VMListText {
+	var out catlog.VMListText
+	for _, vm := range w.deploy.List().VMs {
+		if keep(vm.Name) {
+			out.VMs = append(out.VMs, vm)
+		}
+	}
+	return out
+}
+
+func assertHolds(t interface{ Fatalf(string, ...any) }, w *world) {
+	if w.broken != "" {
+		t.Fatalf("%s", w.broken)
+	}
+}
+
+func assertSettled(t *testing.T, w *world, within time.Duration) {
+	t.Helper()
+	limit := w.sim.Now() + within
+	for w.sim.Now() < limit {
+		w.sim.Run(w.sim.Now()+spans.Tick, w.judge)
+		if w.settled() {
+			return
+		}
+	}
+	for _, n := range w.sim.Nodes() {
+		t.Logf("%s members %v settled %v", n.Process(), n.Members(), n.Agent.Member().Settled())
+	}
+	t.Fatalf("the fleet has not settled within %v", within)
+}
+
+func (w *world) settled() bool {
+	for _, n := range w.sim.Nodes() {
+		if !n.Agent.Member().Settled() || !n.Agent.Member().Holds(n.Clock()) {
+			return false
+		}
+	}
+	return true
+}
+
+// fullRate returns the tokens that a team gets in a span when it asks at its home all the time.
+func (w *world) fullRate(span time.Duration) float64 {
+	before := w.taken
+	end := w.sim.Now() + span
+	for w.sim.Now() < end {
+		w.sim.Run(w.sim.Now()+10*time.Millisecond, w.judge)
+		for _, n := range w.sim.Nodes() {
+			for w.take(n, 0.1) {
+			}
+		}
+	}
+	return w.taken - before
+}
+
+func TestOrderlyFleet(t *testing.T) {
+	w := newWorld(1, 5)
+	assertSettled(t, w, 10*time.Second)
+	t.Run("the home gets the whole rate", func(t *testing.T) {
+		w.fullRate(3 * time.Second)
+		if got := w.fullRate(10 * time.Second); got < 0.98*rate*10 {
+			t.Fatalf("the team got %.1f tokens in 10 s, %.1f are its rate", got, rate*10)
+		}
+		assertHolds(t, w)
+	})
+	t.Run("every server's units are gathered by one VM", func(t *testing.T) {
+		for _, s := range w.servers {
+			best := 0
+			for _, n := range w.sim.Nodes() {
+				units, _ := n.Agent.Units(n.Clock(), s)
+				best = max(best, units)
+			}
+			if best != s.Service().Slots() {
+				t.Errorf("server %s: one VM has %d of %d units", s.Name(), best, s.Service().Slots())
+			}
+		}
+	})
+}
+
+func TestVMDies(t *testing.T) {
+	w := newWorld(2, 5)
+	assertSettled(t, w, 10*time.Second)
+	w.sim.Kill("vm1")
+	w.sim.PublishList(w.list(func(vm ident.VM) bool { return vm != "vm1" }))
+	t.Run("the others take over its claims", func(t *testing.T) {
+		w.sim.Run(w.sim.Now()+spans.Reclaim, w.judge)
+		assertSettled(t, w, 20*time.Second)
+		if n := len(w.sim.Node("vm0").Members()); n != 4 {
+			t.Fatalf("the view has %d members", n)
+		}
+		w.fullRate(3 * time.Second)
+		if got := w.fullRate(5 * time.Second); got < 0.98*rate*5 {
+			t.Fatalf("the team got %.1f tokens in 5 s, %.1f are its rate", got, rate*5)
+		}
+		assertHolds(t, w)
+	})
+}
+
+func TestVMReplaced(t *testing.T) {
+	w := newWorld(3, 5)
+	assertSettled(t, w, 10*time.Second)
+	w.sim.Kill("vm2")
+	w.sim.Start("vm2", "north", 0)
+	t.Run("a new process under the old name starts without claims and ends with them", func(t *testing.T) {
+		w.sim.Run(w.sim.Now()+3*time.Second, w.judge)
+		if w.sim.Node("vm2").Agent.Member().Holds(w.sim.Node("vm2").Clock()) {
+			t.Fatal("the new process holds claims before the old one is known to be gone")
+		}
+		assertSettled(t, w, 30*time.Second)
+		assertHolds(t, w)
+	})
+}
+
+func TestFleetCut(t *testing.T) {
+	w := newWorld(4, 9)
+	assertSettled(t, w, 10*time.Second)
+	small := map[ident.VM]bool{"vm0": true, "vm3": true, "vm5": true, "vm8": true}
+	w.sim.Network.Cut = func(from, to ident.VM) bool { return small[from] != small[to] }
+	t.Run("both sides together stay within the rate", func(t *testing.T) {
+		w.fullRate(15 * time.Second)
+		assertHolds(t, w)
+	})
+	t.Run("the small side has lost its claims", func(t *testing.T) {
+		for vm := range small {
+			if w.sim.Node(vm).Agent.Member().Holds(w.sim.Node(vm).Clock()) {
+				t.Errorf("%s still holds claims", vm)
+			}
+		}
+	})
+	t.Run("the fleet settles again", func(t *testing.T) {
+		w.sim.Network.Cut = nil
+		assertSettled(t, w, 30*time.Second)
+		assertHolds(t, w)
+	})
+}
+
+func TestPausedVMWakes(t *testing.T) {
+	w := newWorld(5, 5)
+	assertSettled(t, w, 10*time.Second)
+	for i, d := range []time.Duration{2 * time.Second, 6 * time.Second, 20 * time.Second} {
+		t.Run(d.String(), func(t *testing.T) {
+			w.fullRate(3 * time.Second)
+			n := w.gatherer(t, i)
+			w.sim.Pause(n, d)
+			w.fullRate(d)
+			w.sim.Run(w.sim.Now()+time.Millisecond, nil)
+			for range 8 {
+				w.judge()
+				w.take(n, 0.1)
+			}
+			w.fullRate(5 * time.Second)
+			assertHolds(t, w)
+			assertSettled(t, w, 40*time.Second)
+		})
+	}
+}
+
+func TestGracefulLeave(t *testing.T) {
+	w := newWorld(6, 5)
+	assertSettled(t, w, 10*time.Second)
+	w.fullRate(3 * time.Second)
+	w.sim.Leave(w.sim.Node("vm0"))
+	t.Run("the rate stays whole while a VM leaves", func(t *testing.T) {
+		got := w.fullRate(10 * time.Second)
+		if got < 0.80*rate*10 {
+			t.Fatalf("the team got %.1f tokens in 10 s", got)
+		}
+		assertHolds(t, w)
+	})
+}
+
+// gatherer returns the VM that has gathered all units of a server.
+func (w *world) gatherer(t *testing.T, i int) *drive.Node {
+	t.Helper()
+	s := w.servers[i]
+	for _, n := range w.sim.Nodes() {
+		if units, _ := n.Agent.Units(n.Clock(), s); units == s.Service().Slots() {
+			return n
+		}
+	}
+	t.Fatalf("nobody has gathered the units of %s", s.Name())
+	return nil
+}
+
+// TestSilentTowardsOne cuts two VMs from each other while both speak to all others, and takes one off the list.
+func TestSilentTowardsOne(t *testing.T) {
+	w := newWorld(7, 5)
+	assertSettled(t, w, 10*time.Second)
+	pair := map[ident.VM]bool{"vm0": true, "vm1": true}
+	w.sim.Network.Cut = func(from, to ident.VM) bool { return pair[from] && pair[to] }
+	w.sim.PublishList(w.list(func(vm ident.VM) bool { return vm != "vm1" }))
+	t.Run("one vote removes nobody", func(t *testing.T) {
+		w.fullRate(4 * spans.Reclaim)
+		assertHolds(t, w)
+		if n := len(w.sim.Node("vm0").Members()); n != 5 {
+			t.Fatalf("the view has %d members", n)
+		}
+	})
+}
+
+// TestCondemnedSpeaksAgain lets a VM come back into hearing between the votes against it.
+func TestCondemnedSpeaksAgain(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(100+seed, 5)
+			assertSettled(t, w, 10*time.Second)
+			w.sim.PublishList(w.list(func(vm ident.VM) bool { return vm != "vm1" }))
+			w.sim.Network.Cut = func(from, to ident.VM) bool { return from == "vm1" || to == "vm1" }
+			w.fullRate(spans.Hold - time.Second + time.Duration(seed)*100*time.Millisecond)
+			w.sim.Network.Cut = func(from, to ident.VM) bool {
+				one, other := from == "vm1" || to == "vm1", from == "vm2" || to == "vm2" || from == "vm3" || to == "vm3"
+				return one && !other
+			}
+			w.fullRate(2 * spans.Reclaim)
+			w.sim.Network.Cut = nil
+			w.fullRate(spans.Reclaim)
+			assertHolds(t, w)
+		})
+	}
+}
+
+// TestFreshProcessHasNoBurst replaces a VM again and again, which must not mint tokens.
+func TestFreshProcessHasNoBurst(t *testing.T) {
+	w := newWorld(8, 3)
+	assertSettled(t, w, 10*time.Second)
+	for range 5 {
+		w.sim.Kill("vm1")
+		n := w.sim.Start("vm1", "west", 0)
+		if level := n.Agent.Level(n.Clock(), team); level > 0 {
+			t.Fatalf("a fresh process has %.2f tokens", level)
+		}
+		w.fullRate(2 * spans.Reclaim)
+	}
+	assertHolds(t, w)
+}
+
+// TestPromisesUnderRandomFaults lets chance choose faults and checks the sums at every event.
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 6).Draw(t, "vms"))
+		w.sim.Network.Loss = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		w.sim.Network.Double = rapid.Float64Range(0, 0.2).Draw(t, "double")
+		w.sim.Network.Most = time.Duration(rapid.IntRange(3, 800).Draw(t, "delay")) * time.Millisecond
+		steps := rapid.IntRange(4, 14).Draw(t, "steps")
+		for range steps {
+			w.randomFault(t)
+			end := w.sim.Now() + time.Duration(rapid.IntRange(100, 9000).Draw(t, "wait"))*time.Millisecond
+			for w.sim.Now() < end {
+				w.sim.Run(w.sim.Now()+50*time.Millisecond, w.judge)
+				w.randomTake()
+			}
+			assertHolds(t, w)
+		}
+	})
+}
+
+func (w *world) randomTake() {
+	rng := w.sim.Rand()
+	for _, n := range w.sim.Nodes() {
+		switch rng.IntN(6) {
+		case 0:
+			for w.take(n, 1) {
+			}
+		case 1:
+			w.take(n, 0.5)
+		}
+	}
+}
+
+func (w *world) randomFault(t *rapid.T) {
+	vms := w.deploy.List().VMs
+	vm := rapid.SampledFrom(vms).Draw(t, "vm")
+	n := w.sim.Node(vm.Name)
+	switch rapid.IntRange(0, 9).Draw(t, "fault") {
+	case 0:
+		w.sim.Kill(vm.Name)
+	case 1:
+		w.sim.Kill(vm.Name)
+		w.sim.Start(vm.Name, vm.Domain, 0)
+	case 2:
+		if n == nil {
+			w.sim.Start(vm.Name, vm.Domain, 0)
+		} else if !n.Asleep() {
+			w.sim.Pause(n, time.Duration(rapid.IntRange(100, 15000).Draw(t, "pause"))*time.Millisecond)
+		}
+	case 3:
+		side := make(map[ident.VM]bool)
+		for _, other := range vms {
+			side[other.Name] = rapid.Bool().Draw(t, "side")
+		}
+		w.sim.Network.Cut = func(from, to ident.VM) bool { return side[from] != side[to] }
+	case 4:
+		w.sim.Network.Cut = func(from, _ ident.VM) bool { return from == vm.Name }
+	case 5:
+		w.sim.Network.Cut = nil
+	case 6:
+		w.sim.PlatformDown(time.Duration(rapid.IntRange(1, 20).Draw(t, "down")) * time.Second)
+	case 7:
+		w.sim.PlatformStale(rapid.Bool().Draw(t, "stale"))
+	case 8:
+		gone := vm.Name
+		w.sim.PublishList(w.list(func(v ident.VM) bool { return v != gone }))
+	case 9:
+		w.sim.PublishList(w.deploy.List())
+		if n != nil && rapid.Bool().Draw(t, "leave") {
+			w.sim.Leave(n)
+		}
+	}
+}
--- a/internal/fleet/agent/loans.go
+++ b/internal/fleet/agent/loans.go
@@ -61,7 +61,7 @@
 func (a *Agent) Units(now clock.Instant, server *catlog.Server) (units, cold int) {
 	service := server.Service()
 	for u := range service.Slots() {
-		if !a.mayUse(now, lend.Slot(server.Name(), u)) {
+		if !a.MayUse(now, lend.Slot(server.Name(), u)) {
 			continue
 		}
 		units++
@@ -129,10 +129,17 @@
 // Lent returns how many units of this VM are lent out.
 func (a *Agent) Lent(now clock.Instant) int { return a.lender.Count(now) }
 
-func (a *Agent) mayUse(now clock.Instant, k lend.Key) bool {
+// MayUse reports whether this VM may begin work under a unit now.
+func (a *Agent) MayUse(now clock.Instant, k lend.Key) bool {
 	if a.borrower.Has(now, k) {
 		return a.member.Holds(now)
 	}
+	if at, ok := a.promised[k]; ok {
+		if now.MinSince(at) < a.opts.Loan+a.opts.Work {
+			return false
+		}
+		delete(a.promised, k)
+	}
 	return a.member.Claims(now, k.Resource()) && !a.lender.Out(now, k)
 }
 
@@ -159,7 +166,6 @@
 		b := a.own[t.Name()]
 		if b == nil {
 			b = &bucket.Bucket{}
-			b.Drain(now, now)
 			a.own[t.Name()] = b
 			a.pools[t.Name()] = &bucket.Pool{}
 		}
@@ -282,11 +288,12 @@
 		delete(a.heard, server.Name())
 	}
 	if !a.lender.Out(now, ask.Key) {
-		units, _ := a.Units(now, server)
-		if a.busy[server.Name()] > units-1 {
+		a.promised[ask.Key] = now
+		if units, _ := a.Units(now, server); a.busy[server.Name()] > units {
 			return inner.Grant{}, false
 		}
 	}
+	delete(a.promised, ask.Key)
 	serial, ok := a.lender.Grant(now, ask.Key, from.Process)
 	return inner.Grant{Key: ask.Key, Serial: serial}, ok
 }
--- /dev/null
+++ b/internal/limit/lend/lend_test.go
@@ -0,0 +1,89 @@
+package lend_test
+
+import (
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/limit/lend"
+)
+
+var (
+	terms = lend.Terms{Lasts: 2 * time.Second, Margin: 200 * time.Millisecond, Work: time.Second}
+	slot  = lend.Slot("server", 1)
+	rate  = lend.Rate("team")
+)
+
+func at(d time.Duration) clock.Instant { return clock.At(d) }
+
+func assertOut(t *testing.T, l *lend.Lender, now clock.Instant, k lend.Key, want bool) {
+	t.Helper()
+	if got := l.Out(now, k); got != want {
+		t.Errorf("at %v unit %v lent out: %v, want %v", now, k, got, want)
+	}
+}
+
+func TestLenderWaits(t *testing.T) {
+	t.Run("longer for a slot, whose work may be in progress", func(t *testing.T) {
+		l := lend.NewLender(terms)
+		l.Grant(at(0), slot, "a/1")
+		l.Grant(at(0), rate, "a/1")
+		assertOut(t, l, at(2199*time.Millisecond), rate, true)
+		assertOut(t, l, at(2200*time.Millisecond), rate, false)
+		assertOut(t, l, at(3199*time.Millisecond), slot, true)
+		assertOut(t, l, at(3200*time.Millisecond), slot, false)
+	})
+	t.Run("by the lower clock", func(t *testing.T) {
+		l := lend.NewLender(terms)
+		l.Grant(at(0), rate, "a/1")
+		assertOut(t, l, clock.Between(time.Second, time.Minute), rate, true)
+	})
+	t.Run("and lends to one borrower at a time", func(t *testing.T) {
+		l := lend.NewLender(terms)
+		l.Grant(at(0), rate, "a/1")
+		if _, ok := l.Grant(at(time.Second), rate, "b/1"); ok {
+			t.Error("a unit was lent twice")
+		}
+		if _, ok := l.Grant(at(time.Second), rate, "a/1"); !ok {
+			t.Error("a loan was not renewed")
+		}
+	})
+}
+
+func TestReturn(t *testing.T) {
+	t.Run("a late return ends no newer loan", func(t *testing.T) {
+		l := lend.NewLender(terms)
+		first, _ := l.Grant(at(0), rate, "a/1")
+		second, _ := l.Grant(at(time.Second), rate, "a/1")
+		if l.Return(rate, "a/1", first) {
+			t.Error("an old return was taken")
+		}
+		assertOut(t, l, at(time.Second), rate, true)
+		if !l.Return(rate, "a/1", second) {
+			t.Error("the right return was not taken")
+		}
+		assertOut(t, l, at(time.Second), rate, false)
+	})
+	t.Run("another process returns nothing", func(t *testing.T) {
+		l := lend.NewLender(terms)
+		serial, _ := l.Grant(at(0), rate, "a/1")
+		if l.Return(rate, "a/2", serial) {
+			t.Error("another process's return was taken")
+		}
+	})
+}
+
+func TestBorrowerStops(t *testing.T) {
+	b := lend.NewBorrower(terms.Lasts)
+	b.Got(slot, "b", at(time.Second))
+	t.Run("counted from before it asked", func(t *testing.T) {
+		if !b.Has(at(2999*time.Millisecond), slot) {
+			t.Error("the loan ended early")
+		}
+	})
+	t.Run("by the upper clock", func(t *testing.T) {
+		if b.Has(clock.Between(2*time.Second, 3*time.Second), slot) {
+			t.Error("the loan outlasted its term")
+		}
+	})
+}
