daemon: cause every fault at every step of a request in virtual time

Cause: the promises of a whole request were shown in order only. Change: a network in memory that strikes at an exact message, a matrix of 21 faults at 10 steps over whole daemons under synctest, judged by what the stand-ins saw. The client no longer holds its lock while it asks the directory, which the first run of the matrix showed as a hang in virtual time.

--- /dev/null
+++ b/internal/node/daemon/matrix_test.go
@@ -0,0 +1,458 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/conf/config"
+	"kumquatreel.example/kumquatreel/internal/stand/backnd"
+	"kumquatreel.example/kumquatreel/internal/stand/local"
+	"kumquatreel.example/kumquatreel/internal/stand/memnet"
+	"kumquatreel.example/kumquatreel/internal/stand/platf"
+	"kumquatreel.example/kumquatreel/internal/stand/sample"
+	"kumquatreel.example/kumquatreel/internal/wire/caller"
+	"kumquatreel.example/kumquatreel/internal/wire/client"
+)
+
+const (
+	team       ident.Team   = "team0"
+	goneDomain ident.Domain = "west"
+	// newsLimit is how long after publication a change must be in force.
+	newsLimit = 3 * time.Second
+	// faultSpan is how long a cut, freeze or outage lasts.
+	faultSpan = 1500 * time.Millisecond
+)
+
+// rig is a whole fleet in virtual time with its judge.
+type rig struct {
+	t      *testing.T
+	net    *memnet.Net
+	fleet  *local.Fleet
+	client *client.Client
+	ops    int
+}
+
+// inBubble runs a test of a whole fleet in virtual time.
+func inBubble(t *testing.T, warm bool, do func(*rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(500 * time.Microsecond)
+		fleet, stop, err := local.Start(sample.Small(9000), local.Options{
+			Network: n.Host, Warm: warm, Seed: 7,
+			Tune: func(c *config.Text) { c.HoldMillis, c.ReclaimMillis = 8000, 12000 },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer n.Close()
+		defer stop()
+		c, closeIdle := fleet.Client(team)
+		defer closeIdle()
+		r := &rig{t: t, net: n, fleet: fleet, client: c}
+		r.settle(time.Minute)
+		do(r)
+		n.Observe(nil)
+		n.Heal()
+		r.judge()
+	})
+}
+
+func (r *rig) settle(limit time.Duration) {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(r.t.Context(), limit)
+	defer cancel()
+	if err := r.fleet.WaitReady(ctx); err != nil {
+		for i := range 3 {
+			if d := r.fleet.VM(i); d != nil {
+				r.t.Logf("%+v", d.Status())
+			}
+		}
+		r.t.Fatal(err)
+	}
+	time.Sleep(newsLimit)
+}
+
+// judge checks what the stand-ins saw.
+func (r *rig) judge() {
+	r.t.Helper()
+	r.fleet.Backends(func(text catlog.ServerText, s *backnd.Server) {
+		rec := s.Record()
+		slots := 2
+		if strings.HasPrefix(string(text.Name), "book") {
+			slots = 4
+		}
+		assertAtMost(r.t, text.Name, "parts in progress", rec.MaxInFlight, slots)
+		assertAtMost(r.t, text.Name, "overruns of a cold start", rec.ColdOverruns, 0)
+		assertAtMost(r.t, text.Name, "connections refused", rec.OverConnections, 0)
+		assertAtMost(r.t, text.Name, "keys seen", rec.KeysSeen, 0)
+		for op, runs := range rec.RunsByRecord {
+			assertAtMost(r.t, text.Name, "runs of "+op, runs, 1)
+		}
+	})
+}
+
+func assertAtMost(t *testing.T, server ident.Server, what string, got, most int) {
+	t.Helper()
+	if got > most {
+		t.Errorf("server %s: %d %s, at most %d are allowed", server, got, what, most)
+	}
+}
+
+// runs returns how often an operation ran anywhere.
+func (r *rig) runs(op string) int {
+	n := 0
+	r.fleet.Backends(func(_ catlog.ServerText, s *backnd.Server) { n += s.Record().RunsByRecord[op] })
+	return n
+}
+
+// query sends an idempotent request and checks that its answer is true.
+func (r *rig) query(ctx context.Context) error {
+	answer, err := r.client.Query(ctx, caller.Query{Route: "all"})
+	if err == nil {
+		assertTrueAnswer(r.t, answer)
+	}
+	return err
+}
+
+// assertTrueAnswer checks that coverage matches the items and that all come from one snapshot.
+func assertTrueAnswer(t *testing.T, a *caller.Answer) {
+	t.Helper()
+	byService := make(map[string]int)
+	for _, item := range a.Items {
+		service := item.ID[:strings.LastIndex(item.ID[:strings.LastIndex(item.ID, "-")], "-")]
+		byService[service]++
+		var body struct {
+			Version int `json:"version"`
+		}
+		if err := json.Unmarshal(item.Body, &body); err != nil {
+			t.Errorf("item %s: %v", item.ID, err)
+		}
+		if want := a.Snapshot.Versions[ident.Service(service)]; body.Version != want {
+			t.Errorf("item %s is of version %d, the snapshot has %d", item.ID, body.Version, want)
+		}
+	}
+	missing := make(map[ident.Service]bool)
+	for _, m := range a.Coverage.Missing {
+		missing[m.Service] = true
+	}
+	whole := 0
+	for service := range a.Snapshot.Versions {
+		items := byService[string(service)]
+		switch {
+		case missing[service] && items > 0:
+			t.Errorf("service %s is said to be missing but has %d items", service, items)
+		case !missing[service] && items != 3:
+			t.Errorf("service %s is said to be covered but has %d items", service, items)
+		case items == 3:
+			whole++
+		}
+	}
+	if whole != a.Coverage.Shards || a.Coverage.Shards+len(a.Coverage.Missing) != a.Coverage.ShardsTotal {
+		t.Errorf("coverage says %d of %d shards, %d are there", a.Coverage.Shards, a.Coverage.ShardsTotal, whole)
+	}
+}
+
+// booking sends a request that may run once, repeats it with its ticket while the outcome is unknown, and checks what it was told.
+func (r *rig) booking(ctx context.Context, repeats int) error {
+	r.ops++
+	op := fmt.Sprintf("op-%d", r.ops)
+	q := caller.Query{Route: "book", Record: "bike", Body: json.RawMessage(`{"operation":"` + op + `"}`)}
+	if tickets, err := r.client.Tickets(ctx, 1); err == nil {
+		q.Ticket = tickets.Tickets[0]
+	}
+	var err error
+	for range repeats {
+		if _, err = r.client.Query(ctx, q); err == nil || q.Ticket == "" {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	var refused *client.Error
+	r.t.Cleanup(func() {
+		switch runs := r.runs(op); {
+		case runs > 1:
+			r.t.Errorf("%s ran %d times", op, runs)
+		case err == nil && runs != 1:
+			r.t.Errorf("%s was answered and ran %d times", op, runs)
+		case errors.As(err, &refused) && refused.NotRun() && repeats == 1 && runs != 0:
+			r.t.Errorf("%s was said not to have run and ran %d times: %v", op, runs, err)
+		}
+	})
+	return err
+}
+
+// step is a moment in the course of a request.
+type step struct {
+	name string
+	at   func(memnet.Passing) bool
+}
+
+func request(path string) func(memnet.Passing) bool {
+	return func(p memnet.Passing) bool { return !p.Dial && !p.Reply && strings.HasPrefix(p.Path, path) }
+}
+
+func reply(path string) func(memnet.Passing) bool {
+	return func(p memnet.Passing) bool { return !p.Dial && p.Reply && strings.HasPrefix(p.Path, path) }
+}
+
+var steps = []step{
+	{"directory", request("/v1/directory")},
+	{"connect", func(p memnet.Passing) bool { return p.Dial && p.From == "caller" }},
+	{"key", request("/v1/query")},
+	{"rate", request("/inner/admit")},
+	{"plan", reply("/inner/admit")},
+	{"innerSend", request("/inner/parts")},
+	{"dispatch", request("/shards/")},
+	{"answer", reply("/shards/")},
+	{"merge", reply("/inner/parts")},
+	{"reply", reply("/v1/query")},
+}
+
+// kind is a fault, caused at the parties of a message; it returns what ends it.
+type kind struct {
+	name  string
+	cause func(r *rig, p memnet.Passing) (end func())
+}
+
+func vmIndex(name string) (int, bool) {
+	var i int
+	_, err := fmt.Sscanf(name, "vm%d", &i)
+	return i, err == nil
+}
+
+// victim returns the party of a message that a fault strikes: its receiver, unless that is the caller.
+func victim(p memnet.Passing) string {
+	if p.To == "caller" {
+		return p.From
+	}
+	return p.To
+}
+
+func (r *rig) kill(name string) (end func()) {
+	i, isVM := vmIndex(name)
+	if !isVM {
+		r.fleet.Backend(ident.Server(name)).Down(faultSpan)
+		return nil
+	}
+	go r.fleet.KillVM(i)
+	return func() { r.replace(i) }
+}
+
+func (r *rig) replace(i int) {
+	if r.fleet.VM(i) != nil {
+		return
+	}
+	if err := r.fleet.StartVM(i); err != nil {
+		r.t.Error(err)
+	}
+}
+
+var kinds = []kind{
+	{"kill", func(r *rig, p memnet.Passing) func() { return r.kill(victim(p)) }},
+	{"replace", func(r *rig, p memnet.Passing) func() {
+		end := r.kill(victim(p))
+		if end == nil {
+			return nil
+		}
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			end()
+		}()
+		return nil
+	}},
+	{"freeze", func(r *rig, p memnet.Passing) func() {
+		r.net.Isolate(victim(p))
+		return r.net.Heal
+	}},
+	{"cutOneWay", func(r *rig, p memnet.Passing) func() {
+		r.net.Cut(p.From, p.To)
+		return r.net.Heal
+	}},
+	{"cutBack", func(r *rig, p memnet.Passing) func() {
+		r.net.Cut(p.To, p.From)
+		return r.net.Heal
+	}},
+	{"cutBothWays", func(r *rig, p memnet.Passing) func() {
+		r.net.Cut(p.From, p.To)
+		r.net.Cut(p.To, p.From)
+		return r.net.Heal
+	}},
+	{"reset", func(r *rig, p memnet.Passing) func() {
+		go r.net.Reset(victim(p))
+		return nil
+	}},
+	{"platformDown", func(r *rig, _ memnet.Passing) func() {
+		r.fleet.Platform.SetMode(platf.ModeDown)
+		return func() { r.fleet.Platform.SetMode(platf.ModeUp) }
+	}},
+	{"platformStale", func(r *rig, _ memnet.Passing) func() {
+		r.fleet.Platform.SetMode(platf.ModeStale)
+		r.fleet.Publish(func(t *catlog.Text) { t.Preset = "peak" })
+		return func() { r.fleet.Platform.SetMode(platf.ModeUp) }
+	}},
+	{"slow", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{Slow: 30}) }},
+	{"lostAnswer", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{DropAnswer: true}) }},
+	{"truncated", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{Truncate: true}) }},
+	{"crossed", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{Crossed: true}) }},
+	{"partial", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{Partial: true}) }},
+	{"serverRestarts", func(r *rig, _ memnet.Passing) func() {
+		r.fleet.Backends(func(_ catlog.ServerText, s *backnd.Server) { s.TurnCold(true) })
+		return nil
+	}},
+	{"serverTurnsCold", func(r *rig, _ memnet.Passing) func() {
+		r.fleet.Backends(func(_ catlog.ServerText, s *backnd.Server) { s.TurnCold(false) })
+		return nil
+	}},
+	{"serverDrains", func(r *rig, _ memnet.Passing) func() {
+		r.fleet.Backends(func(t catlog.ServerText, s *backnd.Server) { s.SetDraining(t.Domain == goneDomain) })
+		return nil
+	}},
+	{"snapshotMoves", func(r *rig, _ memnet.Passing) func() {
+		r.fleet.Backends(func(t catlog.ServerText, s *backnd.Server) {
+			if t.Domain == goneDomain {
+				s.SetVersions(2)
+			} else {
+				s.SetVersions(1, 2)
+			}
+		})
+		r.fleet.Publish(func(t *catlog.Text) {
+			for i := range t.Services {
+				t.Services[i].IndexVersion = 2
+			}
+		})
+		return nil
+	}},
+	{"keyWithdrawn", func(r *rig, _ memnet.Passing) func() {
+		r.fleet.Publish(func(t *catlog.Text) { t.Teams[0].Keys = nil })
+		return func() {}
+	}},
+	{"domainOut", func(r *rig, _ memnet.Passing) func() {
+		r.fleet.Publish(func(t *catlog.Text) { t.Domains[goneDomain] = catlog.DomainOut })
+		return nil
+	}},
+	{"operatorRace", func(r *rig, _ memnet.Passing) func() {
+		r.fleet.Publish(func(t *catlog.Text) { t.Preset = "peak" })
+		r.fleet.Platform.Put(local.KeyConfiguration, `{"preset":"broken"}`)
+		r.fleet.Publish(func(t *catlog.Text) { t.Preset = "maintenance" })
+		return nil
+	}},
+}
+
+// TestFaultMatrix causes every fault at every step of a request and lets the stand-ins judge.
+func TestFaultMatrix(t *testing.T) {
+	for _, k := range kinds {
+		for _, s := range steps {
+			t.Run(k.name+"/"+s.name, func(t *testing.T) {
+				t.Parallel()
+				inBubble(t, true, func(r *rig) { r.cell(k, s) })
+			})
+		}
+	}
+}
+
+// cell runs requests through one fault at one step and checks that service comes back.
+func (r *rig) cell(k kind, s step) {
+	var once sync.Once
+	var end func()
+	struck := false
+	r.net.Observe(func(p memnet.Passing) {
+		if s.at(p) {
+			once.Do(func() {
+				struck = true
+				end = k.cause(r, p)
+			})
+		}
+	})
+	ctx, cancel := context.WithTimeout(r.t.Context(), 20*time.Second)
+	defer cancel()
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = r.query(ctx) })
+	wait.Go(func() { _ = r.booking(ctx, 1) })
+	wait.Go(func() { _ = r.booking(ctx, 3) })
+	time.Sleep(faultSpan)
+	if end != nil {
+		end()
+	}
+	wait.Wait()
+	r.net.Observe(nil)
+	if !struck {
+		r.t.Fatalf("the fault never struck: no message of step %s", s.name)
+	}
+	r.recovers(k)
+}
+
+// recovers checks that the fleet serves whole answers again.
+func (r *rig) recovers(k kind) {
+	r.allServers(backnd.Fault{})
+	r.settle(2 * time.Minute)
+	if k.name == "keyWithdrawn" {
+		r.assertKeyGone()
+		return
+	}
+	r.assertNoNewWork(k)
+	var err error
+	for range 50 {
+		var answer *caller.Answer
+		answer, err = r.client.Query(r.t.Context(), caller.Query{Route: "all"})
+		if err == nil && answer.Coverage.Shards == answer.Coverage.ShardsTotal {
+			assertTrueAnswer(r.t, answer)
+			return
+		}
+		if err == nil {
+			err = errors.Newf("coverage %d of %d: %v", answer.Coverage.Shards, answer.Coverage.ShardsTotal, answer.Coverage.Missing)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	r.t.Errorf("service does not come back: %v", err)
+}
+
+// assertNoNewWork checks that servers which must get no new work get none.
+func (r *rig) assertNoNewWork(k kind) {
+	if k.name != "domainOut" && k.name != "serverDrains" {
+		return
+	}
+	at := time.Now()
+	for range 5 {
+		_ = r.query(r.t.Context())
+	}
+	r.fleet.Backends(func(text catlog.ServerText, s *backnd.Server) {
+		if text.Domain == goneDomain && s.Record().LastStart.After(at) {
+			r.t.Errorf("server %s got work after its domain was taken out", text.Name)
+		}
+	})
+}
+
+func (r *rig) assertKeyGone() {
+	before := r.teamRuns()
+	err := r.query(r.t.Context())
+	var refused *client.Error
+	if !errors.As(err, &refused) || !refused.NotRun() {
+		r.t.Errorf("a withdrawn key was answered with %v", err)
+	}
+	if after := r.teamRuns(); after != before {
+		r.t.Errorf("%d parts ran for a withdrawn key", after-before)
+	}
+}
+
+func (r *rig) teamRuns() int {
+	n := 0
+	r.fleet.Backends(func(_ catlog.ServerText, s *backnd.Server) { n += s.Record().Teams[string(team)] })
+	return n
+}
+
+func (r *rig) allServers(f backnd.Fault) func() {
+	r.fleet.Backends(func(_ catlog.ServerText, s *backnd.Server) { s.SetFault(f) })
+	return func() {
+		r.fleet.Backends(func(_ catlog.ServerText, s *backnd.Server) { s.SetFault(backnd.Fault{}) })
+	}
+}
--- a/internal/wire/client/client.go
+++ b/internal/wire/client/client.go
@@ -126,19 +126,33 @@
 }
 
 func (c *Client) address(ctx context.Context, try int) (string, error) {
+	if addresses := c.kept(); len(addresses) > 0 {
+		return addresses[try%len(addresses)], nil
+	}
+	d, err := c.Directory(ctx)
+	if err != nil {
+		return "", err
+	}
+	if len(d.Addresses) == 0 {
+		return "", errors.New("the directory names no address")
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Now().After(c.until) || len(c.addresses) == 0 {
-		d, err := c.Directory(ctx)
-		if err != nil {
-			return "", err
-		}
-		c.addresses = d.Addresses
-		c.until = time.Now().Add(time.Duration(d.KeepMillis) * time.Millisecond)
-	}
+	c.addresses = d.Addresses
+	c.until = time.Now().Add(time.Duration(d.KeepMillis) * time.Millisecond)
 	return c.addresses[try%len(c.addresses)], nil
 }
 
+// kept returns the addresses of an earlier answer while they may be kept.
+func (c *Client) kept() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().After(c.until) {
+		return nil
+	}
+	return c.addresses
+}
+
 func (c *Client) forget() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
