--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -15,7 +15,7 @@
 	defaultHold       = 120 * time.Second
 	defaultReclaim    = 150 * time.Second
 	defaultFresh      = 3 * time.Second
-	defaultLoan       = 2 * time.Second
+	defaultLoan       = 1500 * time.Millisecond
 	defaultTick       = 250 * time.Millisecond
 	defaultKeep       = 2 * time.Second
 	defaultMaxBody    = 64 << 10
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/group"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/catlog"
 	"kumquatreel.example/kumquatreel/internal/fleet/member"
@@ -43,7 +44,7 @@
 	own      map[ident.Team]*bucket.Bucket
 	pools    map[ident.Team]*bucket.Pool
 	busy     map[ident.Server]int
-	warm     map[ident.Server]string
+	warm     map[ident.Server]sighting
 	heard    map[ident.Server]sighting
 	loads    map[ident.VM]float64
 	load     float64
@@ -51,10 +52,13 @@
 	promised map[lend.Key]clock.Instant
 	platform clock.Instant
 	everRead bool
-	seen     clock.Instant
+	begun    clock.Instant
+	answers  group.Set[ident.VM]
+	known    bool
+	closing  bool
 }
 
-// sighting is an owner's word that a backend server was warm.
+// sighting is the word that a backend server was warm at an instant.
 type sighting struct {
 	incarnation string
 	at          clock.Instant
@@ -64,7 +68,7 @@
 func New(now clock.Instant, opts Options, rng *rand.Rand) *Agent {
 	terms := lend.Terms{Lasts: opts.Loan, Margin: loanMargin, Work: opts.Work}
 	return &Agent{
-		opts: opts, rng: rng,
+		opts: opts, rng: rng, begun: now, answers: group.SetOf[ident.VM](),
 		member: member.New(now, opts.VM, opts.Incarnation, member.Times{
 			Hold: opts.Hold, Reclaim: opts.Reclaim,
 			Drain:   terms.Lasts + terms.Work + 2*loanMargin,
@@ -75,7 +79,7 @@
 		own:      make(map[ident.Team]*bucket.Bucket),
 		pools:    make(map[ident.Team]*bucket.Pool),
 		busy:     make(map[ident.Server]int),
-		warm:     make(map[ident.Server]string),
+		warm:     make(map[ident.Server]sighting),
 		heard:    make(map[ident.Server]sighting),
 		loads:    make(map[ident.VM]float64),
 		newer:    make(map[ident.VM]clock.Instant),
@@ -85,7 +89,6 @@
 
 // Step takes one event and returns what follows from it.
 func (a *Agent) Step(now clock.Instant, ev Event) []Action {
-	a.seen = now
 	switch ev := ev.(type) {
 	case Tick:
 		return a.tick(now)
@@ -146,13 +149,32 @@
 
 // Fresh reports whether the VM has heard from the platform or from a majority lately and knows of no newer configuration that it lacks.
 func (a *Agent) Fresh(now clock.Instant) bool {
-	if a.news.Catalog() == nil || a.news.List() == nil || a.behind(now) {
+	if a.news.Catalog() == nil || a.news.List() == nil || a.behind(now) || !a.introduced(now) {
 		return false
 	}
 	recent := func(t clock.Instant) bool { return now.MaxSince(t) < a.opts.Fresh }
 	return a.everRead && recent(a.platform) || a.member.Contact(recent) && len(a.news.List().All()) > 1
 }
 
+// introduced reports whether a new process has asked enough peers for what a stale platform may lack, or has waited long enough for their answers.
+func (a *Agent) introduced(now clock.Instant) bool {
+	if a.known {
+		return true
+	}
+	live, answered := 0, 1
+	for _, v := range a.news.List().All() {
+		if v.Name() == a.opts.VM || v.State() != catlog.VMLive {
+			continue
+		}
+		live++
+		if a.answers.Has(v.Name()) {
+			answered++
+		}
+	}
+	a.known = 2*answered > live+1 && len(a.newer) == 0 || now.MinSince(a.begun) >= a.opts.Fresh
+	return a.known
+}
+
 // behind reports whether a peer has had a newer configuration for too long.
 func (a *Agent) behind(now clock.Instant) bool {
 	for _, since := range a.newer {
@@ -201,7 +223,7 @@
 	for _, act := range a.member.Step(now, ev, a.rng) {
 		switch act := act.(type) {
 		case member.Ask:
-			out = append(out, Send{VM: act.VM, Exchange: a.exchange(act.VM)})
+			out = append(out, Send{VM: act.VM, Exchange: a.exchange(now, act.VM)})
 		case member.Renamed:
 			a.dropAll(now)
 			out = append(out, Fleet{Change: act})
@@ -223,9 +245,9 @@
 	}
 }
 
-func (a *Agent) exchange(vm ident.VM) inner.Exchange {
+func (a *Agent) exchange(now clock.Instant, vm ident.VM) inner.Exchange {
 	return inner.Exchange{
-		Report:       a.member.Report(a.member.DigestOf(vm)),
+		Report:       a.member.Report(now, a.member.DigestOf(vm)),
 		Revision:     a.news.Revision(),
 		ListRevision: a.news.ListRevision(),
 	}
@@ -261,7 +283,7 @@
 	out = append(out, a.compare(now, ex.Report.VM, ex.Revision, ex.ListRevision)...)
 	a.takeBack(now, ex)
 	reply := inner.ExchangeReply{
-		Report:       a.member.Report(ex.Report.Digest),
+		Report:       a.member.Report(now, ex.Report.Digest),
 		Revision:     a.news.Revision(),
 		ListRevision: a.news.ListRevision(),
 		Load:         a.load,
@@ -273,6 +295,7 @@
 func (a *Agent) answered(now clock.Instant, ev Answered) []Action {
 	out := a.fleet(now, member.Answered{Asked: ev.Asked, Report: ev.Reply.Report})
 	a.loads[ev.VM] = ev.Reply.Load
+	a.answers.Add(ev.VM)
 	a.accept(now, ev)
 	return append(out, a.compare(now, ev.VM, ev.Reply.Revision, ev.Reply.ListRevision)...)
 }
--- a/internal/fleet/agent/loans.go
+++ b/internal/fleet/agent/loans.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/group"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/catlog"
 	"kumquatreel.example/kumquatreel/internal/fleet/member"
@@ -14,24 +15,59 @@
 	"kumquatreel.example/kumquatreel/internal/wire/inner"
 )
 
-// Home returns the VM that spends a team's rate, empty when none is reachable.
+// homesAsked is how many VMs a request's token is looked for at.
+const homesAsked = 3
+
+// Home returns the VM that spends a team's rate, empty when none can.
 func (a *Agent) Home(now clock.Instant, team ident.Team) ident.VM {
-	var vms []ident.VM
+	homes := a.Homes(now, team)
+	if len(homes) == 0 || !a.can(now, homes[0]) {
+		return ""
+	}
+	return homes[0]
+}
+
+// Homes returns the VMs that may spend a team's rate, its home first and then those that may have been its home just before.
+func (a *Agent) Homes(now clock.Instant, team ident.Team) []ident.VM {
+	var able, others []ident.VM
+	seen := group.SetOf[ident.VM]()
 	for _, p := range a.member.Members() {
-		if vm := member.VMOf(p); a.member.Reachable(now, vm) {
-			vms = append(vms, vm)
+		vm := member.VMOf(p)
+		switch {
+		case !seen.Add(vm):
+		case a.can(now, vm):
+			able = append(able, vm)
+		case a.member.Answering(now, vm) && a.member.HoldsClaims(now, vm):
+			others = append(others, vm)
 		}
 	}
-	ranked := ident.Rank("home:"+string(team), vms)
-	if len(ranked) == 0 {
-		return ""
+	resource := "home:" + string(team)
+	homes := append(ident.Rank(resource, able), ident.Rank(resource, others)...)
+	return homes[:min(homesAsked, len(homes))]
+}
+
+// can reports whether a VM is there, stays, and may use claims.
+func (a *Agent) can(now clock.Instant, vm ident.VM) bool {
+	return a.member.Reachable(now, vm) && a.member.HoldsClaims(now, vm)
+}
+
+// ReadyHome reports whether this VM is a team's home and has gathered most parts of its rate.
+func (a *Agent) ReadyHome(now clock.Instant, team ident.Team) bool {
+	pool := a.pools[team]
+	if pool == nil || a.Home(now, team) != a.opts.VM {
+		return false
 	}
-	return ranked[0]
+	holders := 0
+	for _, p := range a.member.Members() {
+		if a.member.HoldsClaims(now, member.VMOf(p)) {
+			holders++
+		}
+	}
+	return 2*(pool.Parts(now)+1) > holders
 }
 
 // Take spends tokens of a team's rate that this VM holds or has borrowed and reports whether they were there.
 func (a *Agent) Take(now clock.Instant, team ident.Team, tokens float64) bool {
-	a.seen = now
 	pool := a.pools[team]
 	if pool == nil {
 		return false
@@ -59,17 +95,49 @@
 
 // Units returns how many parts this VM may have in progress at a backend server, and how many of them while the server is cold.
 func (a *Agent) Units(now clock.Instant, server *catlog.Server) (units, cold int) {
+	k := lend.Slots(server.Name())
+	if !a.member.Holds(now) {
+		return 0, 0
+	}
+	borrowed := a.borrower.Has(now, k)
+	if a.lender.Out(now, k) || a.isPromised(now, k) {
+		return borrowed.Units, borrowed.Cold
+	}
+	own := a.entitled(now, server)
+	return own.Units + borrowed.Units, own.Cold + borrowed.Cold
+}
+
+// entitled returns the slots of a backend server that this VM holds itself.
+func (a *Agent) entitled(now clock.Instant, server *catlog.Server) lend.SlotLoan {
+	resource := lend.Slots(server.Name()).Resource()
 	service := server.Service()
-	for u := range service.Slots() {
-		if !a.MayUse(now, lend.Slot(server.Name(), u)) {
-			continue
-		}
-		units++
-		if u < service.ColdSlots() {
-			cold++
+	return lend.SlotLoan{
+		Units: a.member.Entitled(now, resource, split(service.Slots())),
+		Cold:  a.member.Entitled(now, resource, split(service.ColdSlots())),
+	}
+}
+
+// split shares a number of slots between the first two ranks.
+func split(slots int) func(rank int) int {
+	return func(rank int) int {
+		switch rank {
+		case 0:
+			return (slots + 1) / 2
+		case 1:
+			return slots / 2
 		}
+		return 0
 	}
-	return units, cold
+}
+
+// isPromised reports whether the VM begins no work under its own slots, because their gatherer has asked for them.
+func (a *Agent) isPromised(now clock.Instant, k lend.Key) bool {
+	at, ok := a.promised[k]
+	if ok && now.MinSince(at) >= a.opts.Loan+a.opts.Work {
+		delete(a.promised, k)
+		return false
+	}
+	return ok
 }
 
 // Reserve counts one more part in progress at a backend server and reports whether the units allow it.
@@ -91,62 +159,82 @@
 }
 
 // SetWarm records the incarnation under which a backend server is warm, empty when it is not.
-func (a *Agent) SetWarm(server ident.Server, incarnation string) {
+func (a *Agent) SetWarm(now clock.Instant, server ident.Server, incarnation string) {
 	if incarnation == "" {
 		delete(a.warm, server)
 		return
 	}
-	a.warm[server] = incarnation
+	a.warm[server] = sighting{incarnation: incarnation, at: now}
 }
 
-// LastWarm returns the incarnation under which another owner has lately seen a backend server warm, empty when none has.
+// LastWarm returns the incarnation under which this VM or another has lately found a backend server warm, empty when none has.
 func (a *Agent) LastWarm(now clock.Instant, server ident.Server) string {
-	s, ok := a.heard[server]
-	if !ok || now.MaxSince(s.at) >= 2*a.opts.Loan+a.opts.Work {
+	if own := a.ownWarm(now, server); own != "" {
+		return own
+	}
+	return a.recent(now, a.heard[server])
+}
+
+// ownWarm returns what this VM has found itself, which is all that it tells others.
+func (a *Agent) ownWarm(now clock.Instant, server ident.Server) string {
+	return a.recent(now, a.warm[server])
+}
+
+func (a *Agent) recent(now clock.Instant, s sighting) string {
+	if now.MaxSince(s.at) >= 2*a.opts.Loan+a.opts.Work {
 		return ""
 	}
 	return s.incarnation
 }
 
-// Targets returns the VMs through which a backend server may be reached, the owner first.
+// MayProbe reports whether no other VM that answers holds slots of a backend server, so that this VM may find out alone whether it is warm.
+func (a *Agent) MayProbe(now clock.Instant, server *catlog.Server) bool {
+	for _, vm := range a.holders(server) {
+		if vm != a.opts.VM && a.member.Answering(now, vm) && a.member.HoldsClaims(now, vm) {
+			return false
+		}
+	}
+	return true
+}
+
+// Targets returns the VMs through which a backend server may be reached, the gatherer of its slots first.
 func (a *Agent) Targets(now clock.Instant, server *catlog.Server) []ident.VM {
-	var up, leaving, down []ident.VM
-	for u := range server.Service().Slots() {
-		vm := a.member.Holder(lend.Slot(server.Name(), u).Resource())
+	holders := a.holders(server)
+	var able, leaving []ident.VM
+	for _, vm := range holders {
 		switch {
-		case slices.Contains(up, vm), slices.Contains(leaving, vm), slices.Contains(down, vm):
-		case a.member.Reachable(now, vm):
-			up = append(up, vm)
-		case a.member.Answering(now, vm):
+		case a.can(now, vm):
+			able = append(able, vm)
+		case a.member.HoldsClaims(now, vm) && a.member.Answering(now, vm):
 			leaving = append(leaving, vm)
-		default:
-			down = append(down, vm)
 		}
 	}
-	return slices.Concat(up, leaving, down)
+	if targets := append(able, leaving...); len(targets) > 0 {
+		return targets
+	}
+	return holders
 }
 
-// Lent returns how many units of this VM are lent out.
-func (a *Agent) Lent(now clock.Instant) int { return a.lender.Count(now) }
+// holders returns the VMs that hold slots of a backend server in the current view.
+func (a *Agent) holders(server *catlog.Server) []ident.VM {
+	return slices.Compact(a.member.Ranked(lend.Slots(server.Name()).Resource(), min(2, server.Service().Slots())))
+}
 
-// MayUse reports whether this VM may begin work under a unit now.
-func (a *Agent) MayUse(now clock.Instant, k lend.Key) bool {
-	if a.borrower.Has(now, k) {
-		return a.member.Holds(now)
-	}
-	if at, ok := a.promised[k]; ok {
-		if now.MinSince(at) < a.opts.Loan+a.opts.Work {
-			return false
+// gatherer returns the VM that borrows the other holders' slots of a backend server: the first one that can use them.
+func (a *Agent) gatherer(now clock.Instant, server *catlog.Server) ident.VM {
+	for _, vm := range a.holders(server) {
+		if a.can(now, vm) {
+			return vm
 		}
-		delete(a.promised, k)
 	}
-	return a.member.Claims(now, k.Resource()) && !a.lender.Out(now, k)
+	return ""
 }
 
-// owner reports whether this VM is the one that should gather a backend server's units.
-func (a *Agent) owner(server ident.Server) bool {
-	return a.member.Holder(lend.Slot(server, 0).Resource()) == a.opts.VM
-}
+// StopLending makes a leaving VM lend nothing more, so that its loans come to an end.
+func (a *Agent) StopLending() { a.closing = true }
+
+// Lent returns how many units of this VM are lent out.
+func (a *Agent) Lent(now clock.Instant) int { return a.lender.Count(now) }
 
 func (a *Agent) ownUsable(now clock.Instant, team ident.Team) *bucket.Bucket {
 	if a.lender.Out(now, lend.Rate(team)) {
@@ -199,14 +287,14 @@
 		}
 	}
 	for _, vm := range slices.Sorted(maps.Keys(asks)) {
-		ex := a.exchange(vm)
+		ex := a.exchange(now, vm)
 		ex.Asks = asks[vm]
 		out = append(out, Send{VM: vm, Exchange: ex})
 	}
 	return out
 }
 
-// giveBack returns the parts of rates of which this VM is not the home any more, with their tokens.
+// giveBack returns what this VM has borrowed and should not gather any more: rates with their tokens, and slots that it does not use.
 func (a *Agent) giveBack(now clock.Instant, out []Action) []Action {
 	returns := make(map[ident.VM][]inner.GiveBack)
 	for _, team := range slices.Sorted(maps.Keys(a.pools)) {
@@ -220,8 +308,17 @@
 			}
 		}
 	}
+	for _, k := range a.borrower.Keys() {
+		server := a.server(ident.Server(k.Name))
+		if server == nil || a.gatherer(now, server) == a.opts.VM || a.busy[server.Name()] > a.entitled(now, server).Units {
+			continue
+		}
+		if vm, serial, ok := a.borrower.GiveUp(now, k); ok {
+			returns[vm] = append(returns[vm], inner.GiveBack{Key: k, Serial: serial})
+		}
+	}
 	for _, vm := range slices.Sorted(maps.Keys(returns)) {
-		ex := a.exchange(vm)
+		ex := a.exchange(now, vm)
 		ex.Returns = returns[vm]
 		out = append(out, Send{VM: vm, Exchange: ex})
 	}
@@ -231,16 +328,14 @@
 func (a *Agent) slotAsks(now clock.Instant, c *catlog.Catalog) map[ident.VM][]inner.LoanAsk {
 	asks := make(map[ident.VM][]inner.LoanAsk)
 	for _, s := range c.Servers() {
-		if s.Service() == nil || !a.owner(s.Name()) {
+		if s.Service() == nil || a.gatherer(now, s) != a.opts.VM {
 			continue
 		}
-		for u := 1; u < s.Service().Slots(); u++ {
-			k := lend.Slot(s.Name(), u)
-			vm := a.member.Holder(k.Resource())
-			if vm == a.opts.VM || !a.borrower.Due(now, k) || !a.member.Answering(now, vm) {
-				continue
+		k := lend.Slots(s.Name())
+		for _, vm := range a.holders(s) {
+			if vm != a.opts.VM && a.borrower.Due(now, k) && a.member.Answering(now, vm) {
+				asks[vm] = append(asks[vm], inner.LoanAsk{Key: k, Incarnation: a.ownWarm(now, s.Name())})
 			}
-			asks[vm] = append(asks[vm], inner.LoanAsk{Key: k, Incarnation: a.warm[s.Name()]})
 		}
 	}
 	return asks
@@ -266,7 +361,7 @@
 		var ok bool
 		switch ask.Key.Kind {
 		case lend.KindSlot:
-			g, ok = a.grantSlot(now, ask, ex.Report)
+			g, ok = a.grantSlots(now, ask, ex.Report)
 		case lend.KindRate:
 			g, ok = a.grantRate(now, ask, ex.Report)
 		}
@@ -277,16 +372,16 @@
 	return out
 }
 
-func (a *Agent) grantSlot(now clock.Instant, ask inner.LoanAsk, from member.Report) (inner.Grant, bool) {
+func (a *Agent) grantSlots(now clock.Instant, ask inner.LoanAsk, from member.Report) (inner.Grant, bool) {
 	server := a.server(ident.Server(ask.Key.Name))
-	if server == nil || !a.member.Claims(now, ask.Key.Resource()) || a.member.Leaving() {
+	if server == nil || a.closing || !from.Holds || a.gatherer(now, server) != from.VM {
 		return inner.Grant{}, false
 	}
-	if ask.Incarnation != "" {
-		a.heard[server.Name()] = sighting{incarnation: ask.Incarnation, at: now}
-	} else {
-		delete(a.heard, server.Name())
+	own := a.entitled(now, server)
+	if own.Units == 0 {
+		return inner.Grant{}, false
 	}
+	a.heard[server.Name()] = sighting{incarnation: ask.Incarnation, at: now}
 	if !a.lender.Out(now, ask.Key) {
 		a.promised[ask.Key] = now
 		if units, _ := a.Units(now, server); a.busy[server.Name()] > units {
@@ -295,7 +390,7 @@
 	}
 	delete(a.promised, ask.Key)
 	serial, ok := a.lender.Grant(now, ask.Key, from.Process)
-	return inner.Grant{Key: ask.Key, Serial: serial}, ok
+	return inner.Grant{Key: ask.Key, Serial: serial, Slots: own, Incarnation: a.ownWarm(now, server.Name())}, ok
 }
 
 func (a *Agent) grantRate(now clock.Instant, ask inner.LoanAsk, from member.Report) (inner.Grant, bool) {
@@ -327,7 +422,10 @@
 	for _, g := range ev.Reply.Grants {
 		switch g.Key.Kind {
 		case lend.KindSlot:
-			a.borrower.Got(g.Key, ev.VM, ev.Asked)
+			if g.Incarnation != "" {
+				a.heard[ident.Server(g.Key.Name)] = sighting{incarnation: g.Incarnation, at: ev.Asked}
+			}
+			a.borrower.Got(g.Key, lend.Held{Lender: ev.VM, Slots: g.Slots, Serial: g.Serial, Asked: ev.Asked})
 		case lend.KindRate:
 			if pool := a.pools[ident.Team(g.Key.Name)]; pool != nil {
 				pool.Put(now, ev.VM, bucket.Loan{
--- a/internal/fleet/member/doc.go
+++ b/internal/fleet/member/doc.go
@@ -1,11 +1,13 @@
 // Package member decides which processes form the fleet and what each may claim.
 //
 // A view is a set of processes. Every process derives from a view, by hashing,
-// which units of a resource each process holds. A process gives up at once what
+// what part of a resource each process holds. A process gives up at once what
 // a new view takes from it, and takes up what a new view gives it only after
 // every other process of that view has reported the same view and the work that
-// they had in progress has had time to end. So two processes never hold one unit,
-// whatever order they hear of changes in.
+// they had in progress has had time to end: what it may use is the least that it
+// holds in any view since the last confirmed one. The view that was confirmed
+// last is among those of every process that may use anything, so the sum never
+// exceeds what that view shares out, whatever order processes hear of changes in.
 //
 // A process stays in the view until it says that it has released everything, or
 // until a majority of the last confirmed view has condemned it. A process is
--- a/internal/fleet/member/event.go
+++ b/internal/fleet/member/event.go
@@ -16,6 +16,7 @@
 	Members   []ident.Process `json:"members,omitempty"`
 	Gone      []ident.Process `json:"gone,omitempty"`
 	Condemned []ident.Process `json:"condemned,omitempty"`
+	Holds     bool            `json:"holds,omitempty"`
 	Leaving   bool            `json:"leaving,omitempty"`
 	Released  bool            `json:"released,omitempty"`
 }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -57,6 +58,7 @@
 	answered clock.Instant
 	everAsk  bool
 	leaving  bool
+	holds    bool
 }
 
 // New returns the machine of a process that has just started.
@@ -106,10 +108,10 @@
 }
 
 // Report returns what to tell a peer whose last known digest is given.
-func (m *Machine) Report(peerDigest uint64) Report {
+func (m *Machine) Report(now clock.Instant, peerDigest uint64) Report {
 	r := Report{
 		VM: m.vm, Process: m.self, Digest: m.current().digest,
-		Leaving: m.leaving, Released: m.released, Condemned: group.Sorted(m.condemned),
+		Holds: m.Holds(now), Leaving: m.leaving, Released: m.released, Condemned: group.Sorted(m.condemned),
 	}
 	if peerDigest != r.Digest {
 		r.Members = group.Sorted(m.members)
@@ -148,17 +150,16 @@
 	return !m.released && m.views[0].confirmed && m.majority(now)
 }
 
-// Claims reports whether this process holds a unit that ranks as resource, in every view since the last confirmed one.
-func (m *Machine) Claims(now clock.Instant, resource string) bool {
+// Entitled returns how much of a resource this process may use: the least that its rank gets in any view since the last confirmed one.
+func (m *Machine) Entitled(now clock.Instant, resource string, amount func(rank int) int) int {
 	if !m.Holds(now) {
-		return false
+		return 0
 	}
-	for _, v := range m.views {
-		if top(resource, v.members) != m.self {
-			return false
-		}
+	least := amount(rankOf(m.self, resource, m.views[0].members))
+	for _, v := range m.views[1:] {
+		least = min(least, amount(rankOf(m.self, resource, v.members)))
 	}
-	return true
+	return least
 }
 
 // Share returns this process's part of a divisible resource as a fraction, zero without claims.
@@ -173,8 +174,28 @@
 	return 1 / float64(largest)
 }
 
-// Holder returns the VM that holds a unit in the current view.
-func (m *Machine) Holder(resource string) ident.VM { return VMOf(top(resource, m.members)) }
+// Ranked returns the VMs that rank first for a resource in the current view, best first and at most n.
+func (m *Machine) Ranked(resource string, n int) []ident.VM {
+	ranked := rank(resource, m.members)
+	out := make([]ident.VM, 0, n)
+	for _, p := range ranked[:min(n, len(ranked))] {
+		out = append(out, VMOf(p))
+	}
+	return out
+}
+
+// HoldsClaims reports whether a VM has said that it may use claims.
+func (m *Machine) HoldsClaims(now clock.Instant, vm ident.VM) bool {
+	if vm == m.vm {
+		return m.Holds(now)
+	}
+	for _, p := range m.peers {
+		if p.vm == vm && p.holds {
+			return true
+		}
+	}
+	return false
+}
 
 // Reachable reports whether a VM has answered lately and is not leaving.
 func (m *Machine) Reachable(now clock.Instant, vm ident.VM) bool {
@@ -349,6 +370,7 @@
 	p.heard = now
 	p.digest = r.Digest
 	p.leaving = r.Leaving
+	p.holds = r.Holds
 }
 
 func (m *Machine) answered(now clock.Instant, ev Answered) {
@@ -520,16 +542,37 @@
 	return out
 }
 
-func top(resource string, members group.Set[ident.Process]) ident.Process {
-	var best ident.Process
-	var bestScore uint64
+// rank orders processes for a resource, best first; of two on one VM the newer name comes first.
+func rank(resource string, members group.Set[ident.Process]) []ident.Process {
+	type scored struct {
+		process ident.Process
+		score   uint64
+	}
+	all := make([]scored, 0, len(members))
+	for p := range members {
+		all = append(all, scored{p, ident.Score(resource, string(VMOf(p)))})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.process, a.process))
+	})
+	out := make([]ident.Process, len(all))
+	for i, s := range all {
+		out[i] = s.process
+	}
+	return out
+}
+
+// rankOf counts the processes that come before one, without ordering the rest.
+func rankOf(self ident.Process, resource string, members group.Set[ident.Process]) int {
+	own := ident.Score(resource, string(VMOf(self)))
+	n := 0
 	for p := range members {
 		score := ident.Score(resource, string(VMOf(p)))
-		if best == "" || score > bestScore || score == bestScore && p > best {
-			best, bestScore = p, score
+		if score > own || score == own && p > self {
+			n++
 		}
 	}
-	return best
+	return n
 }
 
 func digest(members group.Set[ident.Process]) uint64 {
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -33,6 +33,7 @@
 	MaxMillis   float64            `json:"maxMillis"`
 	Coverage    float64            `json:"meanCoverage"`
 	LeastCover  float64            `json:"leastCoverage"`
+	Missing     map[fault.Code]int `json:"missingShards"`
 	First       int                `json:"firstAttempts"`
 	Second      int                `json:"secondAttempts"`
 }
@@ -57,7 +58,7 @@
 func NewRecorder() *Recorder {
 	return &Recorder{
 		hist:   hdrhistogram.New(lowestMicros, highestMicros, digits),
-		result: Result{Refused: make(map[fault.Code]int), LeastCover: 1},
+		result: Result{Refused: make(map[fault.Code]int), Missing: make(map[fault.Code]int), LeastCover: 1},
 	}
 }
 
@@ -74,6 +75,9 @@
 		f := answer.Coverage.Fraction()
 		r.cover += f
 		r.result.LeastCover = min(r.result.LeastCover, f)
+		for _, m := range answer.Coverage.Missing {
+			r.result.Missing[m.Reason]++
+		}
 		r.result.First += answer.Timing.FirstAttempts
 		r.result.Second += answer.Timing.SecondAttempts
 	case errors.As(err, &refused):
--- a/internal/limit/lend/lend.go
+++ b/internal/limit/lend/lend.go
@@ -1,7 +1,9 @@
 package lend
 
 import (
-	"strconv"
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
@@ -19,23 +21,20 @@
 	KindRate
 )
 
-// Key names one unit of a resource.
+// Key names what a VM holds of one resource, which it lends as a whole.
 type Key struct {
 	Kind Kind   `json:"kind"`
 	Name string `json:"name"`
-	Unit int    `json:"unit,omitempty"`
 }
 
-// Slot returns the key of a slot of a backend server.
-func Slot(s ident.Server, unit int) Key { return Key{Kind: KindSlot, Name: string(s), Unit: unit} }
+// Slots returns the key of the lender's own slots of a backend server.
+func Slots(s ident.Server) Key { return Key{Kind: KindSlot, Name: string(s)} }
 
 // Rate returns the key of the lender's own part of a team's rate.
 func Rate(t ident.Team) Key { return Key{Kind: KindRate, Name: string(t)} }
 
-// Resource returns the text by which VMs are ranked for the unit.
-func (k Key) Resource() string {
-	return k.Kind.String() + ":" + k.Name + "#" + strconv.Itoa(k.Unit)
-}
+// Resource returns the text by which VMs are ranked for the resource.
+func (k Key) Resource() string { return k.Kind.String() + ":" + k.Name }
 
 // Terms are the spans of a loan.
 type Terms struct {
@@ -120,44 +119,66 @@
 	return n
 }
 
-// Borrower records the units that a VM has borrowed; it is driven under its owner's lock.
-type Borrower struct {
-	lasts time.Duration
-	held  map[Key]held
+// SlotLoan is how many slots of a backend server are lent, and how many of them may be used while it is cold.
+type SlotLoan struct {
+	Units int `json:"units"`
+	Cold  int `json:"cold"`
+}
+
+// Held is a loan of slots as its borrower knows it.
+type Held struct {
+	Lender ident.VM
+	Slots  SlotLoan
+	Serial int64
+	Asked  clock.Instant
 }
 
-type held struct {
-	lender ident.VM
-	asked  clock.Instant
+// Borrower records the slots that a VM has borrowed; it is driven under its owner's lock.
+type Borrower struct {
+	lasts time.Duration
+	held  map[Key]Held
 }
 
 // NewBorrower returns a borrower without loans.
 func NewBorrower(lasts time.Duration) *Borrower {
-	return &Borrower{lasts: lasts, held: make(map[Key]held)}
+	return &Borrower{lasts: lasts, held: make(map[Key]Held)}
 }
 
-// Got records that a unit asked for at an instant has been lent by a VM.
-func (b *Borrower) Got(k Key, lender ident.VM, asked clock.Instant) {
-	b.held[k] = held{lender: lender, asked: asked}
-}
+// Got records a loan.
+func (b *Borrower) Got(k Key, h Held) { b.held[k] = h }
 
-// Has reports whether a borrowed unit may still be used.
-func (b *Borrower) Has(now clock.Instant, k Key) bool {
+// Has returns the borrowed slots that may still be used.
+func (b *Borrower) Has(now clock.Instant, k Key) SlotLoan {
 	h, ok := b.held[k]
 	if !ok {
-		return false
+		return SlotLoan{}
 	}
-	if now.MaxSince(h.asked) >= b.lasts {
+	if now.MaxSince(h.Asked) >= b.lasts {
 		delete(b.held, k)
-		return false
+		return SlotLoan{}
 	}
-	return true
+	return h.Slots
+}
+
+// Keys returns the keys of the loans in order.
+func (b *Borrower) Keys() []Key {
+	return slices.SortedFunc(maps.Keys(b.held), func(x, y Key) int { return cmp.Compare(x.Name, y.Name) })
+}
+
+// GiveUp forgets a loan that lasts still and returns its lender and serial number.
+func (b *Borrower) GiveUp(now clock.Instant, k Key) (lender ident.VM, serial int64, ok bool) {
+	if b.Has(now, k) == (SlotLoan{}) {
+		return "", 0, false
+	}
+	h := b.held[k]
+	delete(b.held, k)
+	return h.Lender, h.Serial, true
 }
 
 // Due reports whether a unit should be asked for again.
 func (b *Borrower) Due(now clock.Instant, k Key) bool {
 	h, ok := b.held[k]
-	return !ok || now.MaxSince(h.asked) >= b.lasts/2
+	return !ok || now.MaxSince(h.Asked) >= b.lasts/2
 }
 
 // Clear forgets all units.
--- a/internal/limit/lend/lend_test.go
+++ b/internal/limit/lend/lend_test.go
@@ -10,7 +10,7 @@
 
 var (
 	terms = lend.Terms{Lasts: 2 * time.Second, Margin: 200 * time.Millisecond, Work: time.Second}
-	slot  = lend.Slot("server", 1)
+	slot  = lend.Slots("server")
 	rate  = lend.Rate("team")
 )
 
@@ -75,14 +75,14 @@
 
 func TestBorrowerStops(t *testing.T) {
 	b := lend.NewBorrower(terms.Lasts)
-	b.Got(slot, "b", at(time.Second))
+	b.Got(slot, lend.Held{Lender: "b", Slots: lend.SlotLoan{Units: 1}, Asked: at(time.Second)})
 	t.Run("counted from before it asked", func(t *testing.T) {
-		if !b.Has(at(2999*time.Millisecond), slot) {
+		if b.Has(at(2999*time.Millisecond), slot).Units != 1 {
 			t.Error("the loan ended early")
 		}
 	})
 	t.Run("by the upper clock", func(t *testing.T) {
-		if b.Has(clock.Between(2*time.Second, 3*time.Second), slot) {
+		if b.Has(clock.Between(2*time.Second, 3*time.Second), slot).Units != 0 {
 			t.Error("the loan outlasted its term")
 		}
 	})
--- a/internal/limit/slots/event.go
+++ b/internal/limit/slots/event.go
@@ -48,6 +48,8 @@
 	Units int
 	// ColdUnits is how many of those may be used while the server is cold.
 	ColdUnits int
+	// MayProbe is whether one part may go to a server that another VM has lately found warm, whatever ColdUnits says.
+	MayProbe bool
 	// QueueMax is how many parts may wait.
 	QueueMax int
 	// WarmAfter is how many good parts end a cold start.
@@ -73,12 +75,16 @@
 // Cancel takes back an attempt that is no longer wanted.
 type Cancel struct{ ID ID }
 
+// Lost tells that the server has closed a connection.
+type Lost struct{}
+
 // Check tells that time has passed or the environment may have changed.
 type Check struct{}
 
 func (Offer) event()  {}
 func (Done) event()   {}
 func (Cancel) event() {}
+func (Lost) event()   {}
 func (Check) event()  {}
 
 // Action is something that a Machine wants done.
--- a/internal/limit/slots/slots.go
+++ b/internal/limit/slots/slots.go
@@ -29,9 +29,12 @@
 	latency  time.Duration
 	slow     int
 	careful  bool
+	quick    int
 	failures int
 	retryAt  clock.Instant
 	lastGood clock.Instant
+	probedAt clock.Instant
+	vouched  bool
 }
 
 // New returns a machine for a server that counts as cold.
@@ -47,6 +50,8 @@
 		m.done(now, env, ev)
 	case Cancel:
 		out = m.cancel(ev.ID)
+	case Lost:
+		m.suspect(now)
 	case Check:
 	}
 	out = append(out, m.expire(now, env)...)
@@ -68,10 +73,12 @@
 // Latency returns the usual time of a part at the server.
 func (m *Machine) Latency() time.Duration { return m.latency }
 
-// Expect tells that another VM has lately seen the server warm under an incarnation.
+// Expect tells that another VM has lately seen the server warm under an incarnation; one part at a time may then show whether it still is.
 func (m *Machine) Expect(now clock.Instant, incarnation string) {
 	if m.warmth == WarmthCold && m.good == 0 && m.serverID == "" && incarnation != "" {
 		m.warmth = WarmthProbing
+		m.probedAt = now
+		m.vouched = true
 		m.serverID = incarnation
 		m.lastGood = now
 	}
@@ -83,10 +90,13 @@
 		return 0
 	}
 	if m.warmth == WarmthWarm && now.MaxSince(m.lastGood) > idleLimit && len(m.sent) == 0 {
-		m.warmth = WarmthProbing
+		m.suspect(now)
 	}
 	n := env.Units
-	if m.warmth != WarmthWarm || m.careful {
+	switch {
+	case m.vouched && env.MayProbe:
+		n = min(n, 1)
+	case m.warmth != WarmthWarm || m.careful:
 		n = min(n, env.ColdUnits)
 	}
 	if m.failures > 0 {
@@ -180,7 +190,8 @@
 }
 
 func (m *Machine) done(now clock.Instant, env Env, ev Done) {
-	if _, ok := m.sent[ev.ID]; !ok {
+	sentAt, ok := m.sent[ev.ID]
+	if !ok {
 		return
 	}
 	delete(m.sent, ev.ID)
@@ -196,7 +207,7 @@
 		m.failures = 0
 		m.allow = max(1, m.ceiling(env)/2)
 	case r.Outcome == fault.OutcomeRan:
-		m.ran(now, env, r)
+		m.ran(now, sentAt, env, r)
 	case r.Incarnation != "":
 		m.failures = 0
 	}
@@ -204,17 +215,25 @@
 
 // broken spares a server whose connection failed: it may be down or cold.
 func (m *Machine) broken(now clock.Instant) {
-	if m.warmth == WarmthWarm {
-		m.warmth = WarmthProbing
-	}
+	m.suspect(now)
 	m.good = 0
 	backoff := min(lastBackoff, firstBackoff<<min(m.failures, 8))
 	m.failures++
 	m.retryAt = now.Add(backoff)
 }
 
+// suspect makes a warm server show by a part sent from now on that it is still the same.
+func (m *Machine) suspect(now clock.Instant) {
+	m.probedAt = now
+	m.vouched = false
+	if m.warmth == WarmthWarm {
+		m.warmth = WarmthProbing
+	}
+}
+
 func (m *Machine) turnCold(incarnation string) {
 	m.warmth = WarmthCold
+	m.vouched = false
 	m.good = 0
 	m.slow = 0
 	m.careful = false
@@ -222,7 +241,7 @@
 	m.draining = false
 }
 
-func (m *Machine) ran(now clock.Instant, env Env, r Result) {
+func (m *Machine) ran(now, sentAt clock.Instant, env Env, r Result) {
 	m.failures = 0
 	m.lastGood = now
 	m.good++
@@ -239,28 +258,40 @@
 			m.latency = 0
 		}
 	case WarmthProbing:
-		m.warmth = WarmthWarm
+		if sentAt.Upper() >= m.probedAt.Upper() {
+			m.warmth = WarmthWarm
+			m.vouched = false
+		}
 	case WarmthWarm:
 		m.measure(r.Latency)
 	}
 }
 
-// measure learns the usual latency, is careful after one slow part and takes a lasting jump for a cold start.
+// measure learns the usual latency. A slow part makes it careful until several parts in a row are quick again;
+// several slow ones before that are taken for a cold start.
 func (m *Machine) measure(latency time.Duration) {
 	if m.latency == 0 {
 		m.latency = latency
 		return
 	}
-	m.careful = latency > slowFactor*m.latency
-	if m.careful {
+	if latency > slowFactor*m.latency {
+		m.careful = true
+		m.quick = 0
 		m.slow++
 		if m.slow >= slowParts {
 			m.turnCold(m.serverID)
 		}
 		return
 	}
-	m.slow = 0
-	m.latency += time.Duration(latencyWeight * float64(latency-m.latency))
+	if !m.careful {
+		m.latency += time.Duration(latencyWeight * float64(latency-m.latency))
+		return
+	}
+	m.quick++
+	if m.quick >= slowParts {
+		m.careful = false
+		m.slow = 0
+	}
 }
 
 func (m *Machine) ceiling(env Env) float64 {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -128,6 +128,7 @@
 		return errors.Errorf("shutdown: %w", ctx.Err())
 	}
 	d.owner.Drain()
+	d.mesh.With(func(_ clock.Instant, a *agent.Agent) { a.StopLending() })
 	for d.entry.Active() > 0 || d.owner.Busy() > 0 || d.lent() > 0 {
 		if !sleep(ctx, idlePeriod) {
 			return errors.Errorf("shutdown with work in progress: %w", ctx.Err())
--- a/internal/node/daemon/matrix_test.go
+++ b/internal/node/daemon/matrix_test.go
@@ -29,6 +29,9 @@
 	goneDomain ident.Domain = "west"
 	// newsLimit is how long after publication a change must be in force.
 	newsLimit = 3 * time.Second
+	// queueStep is the step at which parts wait; queuedAfter parts have been dispatched by then.
+	queueStep   = "queue"
+	queuedAfter = 40
 	// faultSpan is how long a cut, freeze or outage lasts.
 	faultSpan = 1500 * time.Millisecond
 )
@@ -43,7 +46,7 @@
 }
 
 // inBubble runs a test of a whole fleet in virtual time.
-func inBubble(t *testing.T, warm bool, do func(*rig)) {
+func inBubble(t *testing.T, warm bool, do func(*testing.T, *rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New(500 * time.Microsecond)
@@ -54,13 +57,15 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		// Connections that are being closed linger for a while.
+		defer time.Sleep(time.Second)
 		defer n.Close()
 		defer stop()
 		c, closeIdle := fleet.Client(team)
 		defer closeIdle()
 		r := &rig{t: t, net: n, fleet: fleet, client: c}
 		r.settle(time.Minute)
-		do(r)
+		do(t, r)
 		n.Observe(nil)
 		n.Heal()
 		r.judge()
@@ -127,10 +132,11 @@
 // assertTrueAnswer checks that coverage matches the items and that all come from one snapshot.
 func assertTrueAnswer(t *testing.T, a *caller.Answer) {
 	t.Helper()
-	byService := make(map[string]int)
+	found := make(map[string]int)
 	for _, item := range a.Items {
-		service := item.ID[:strings.LastIndex(item.ID[:strings.LastIndex(item.ID, "-")], "-")]
-		byService[service]++
+		shard := item.ID[:strings.LastIndex(item.ID, "-")]
+		service := shard[:strings.LastIndex(shard, "-")]
+		found[shard]++
 		var body struct {
 			Version int `json:"version"`
 		}
@@ -141,24 +147,18 @@
 			t.Errorf("item %s is of version %d, the snapshot has %d", item.ID, body.Version, want)
 		}
 	}
-	missing := make(map[ident.Service]bool)
 	for _, m := range a.Coverage.Missing {
-		missing[m.Service] = true
+		if n := found[fmt.Sprintf("%s-%d", m.Service, m.Shard)]; n > 0 {
+			t.Errorf("shard %d of %s is said to be missing but has %d items", m.Shard, m.Service, n)
+		}
 	}
-	whole := 0
-	for service := range a.Snapshot.Versions {
-		items := byService[string(service)]
-		switch {
-		case missing[service] && items > 0:
-			t.Errorf("service %s is said to be missing but has %d items", service, items)
-		case !missing[service] && items != 3:
-			t.Errorf("service %s is said to be covered but has %d items", service, items)
-		case items == 3:
-			whole++
+	for shard, n := range found {
+		if n != 3 {
+			t.Errorf("shard %s has %d items instead of 3", shard, n)
 		}
 	}
-	if whole != a.Coverage.Shards || a.Coverage.Shards+len(a.Coverage.Missing) != a.Coverage.ShardsTotal {
-		t.Errorf("coverage says %d of %d shards, %d are there", a.Coverage.Shards, a.Coverage.ShardsTotal, whole)
+	if len(found) != a.Coverage.Shards || a.Coverage.Shards+len(a.Coverage.Missing) != a.Coverage.ShardsTotal {
+		t.Errorf("coverage says %d of %d shards, %d are there", a.Coverage.Shards, a.Coverage.ShardsTotal, len(found))
 	}
 }
 
@@ -212,6 +212,7 @@
 	{"rate", request("/inner/admit")},
 	{"plan", reply("/inner/admit")},
 	{"innerSend", request("/inner/parts")},
+	{"queue", nil},
 	{"dispatch", request("/shards/")},
 	{"answer", reply("/shards/")},
 	{"merge", reply("/inner/parts")},
@@ -304,6 +305,7 @@
 	{"lostAnswer", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{DropAnswer: true}) }},
 	{"truncated", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{Truncate: true}) }},
 	{"crossed", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{Crossed: true}) }},
+	{"otherVersion", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{OtherVersion: true}) }},
 	{"partial", func(r *rig, _ memnet.Passing) func() { return r.allServers(backnd.Fault{Partial: true}) }},
 	{"serverRestarts", func(r *rig, _ memnet.Passing) func() {
 		r.fleet.Backends(func(_ catlog.ServerText, s *backnd.Server) { s.TurnCold(true) })
@@ -329,6 +331,8 @@
 			for i := range t.Services {
 				t.Services[i].IndexVersion = 2
 			}
+			t.Services[0].Shards = append(t.Services[0].Shards, t.Services[1].Shards[0])
+			t.Services[0].Shards[1].Servers = t.Services[0].Shards[0].Servers
 		})
 		return nil
 	}},
@@ -348,13 +352,73 @@
 	}},
 }
 
+// excluded names the faults of the design that have no cell, and why.
+var excluded = map[string]string{
+	"duplicate":                     "a stream carries each byte once; TestDuplicateBatch sends a batch twice instead",
+	"reorder":                       "requests share no connection while in progress; late answers are the cells of freeze and cutBack",
+	"vmReplaced at another address": "a VM under a new name is a VM that joins; replace/* is the harder case",
+}
+
+func TestExcludedFaults(t *testing.T) {
+	for name, reason := range excluded {
+		t.Logf("%s: %s", name, reason)
+	}
+}
+
+// pairs are the faults that may come together.
+var pairs = [][2]string{
+	{"kill", "platformDown"},
+	{"kill", "serverRestarts"},
+	{"replace", "platformStale"},
+	{"cutBothWays", "keyWithdrawn"},
+	{"freeze", "serverTurnsCold"},
+	{"platformDown", "domainOut"},
+	{"serverRestarts", "serverTurnsCold"},
+	{"reset", "reset"},
+	{"kill", "snapshotMoves"},
+	{"lostAnswer", "kill"},
+	{"slow", "freeze"},
+}
+
+// TestFaultPairs causes two faults at one step.
+func TestFaultPairs(t *testing.T) {
+	for _, pair := range pairs {
+		first, second := kindOf(pair[0]), kindOf(pair[1])
+		both := kind{name: pair[1], cause: func(r *rig, p memnet.Passing) func() {
+			one, two := first.cause(r, p), second.cause(r, p)
+			return func() {
+				for _, end := range []func(){one, two} {
+					if end != nil {
+						end()
+					}
+				}
+			}
+		}}
+		for _, s := range steps {
+			t.Run(pair[0]+"+"+pair[1]+"/"+s.name, func(t *testing.T) {
+				t.Parallel()
+				inBubble(t, true, func(_ *testing.T, r *rig) { r.cell(both, s) })
+			})
+		}
+	}
+}
+
+func kindOf(name string) kind {
+	for _, k := range kinds {
+		if k.name == name {
+			return k
+		}
+	}
+	panic("no fault " + name)
+}
+
 // TestFaultMatrix causes every fault at every step of a request and lets the stand-ins judge.
 func TestFaultMatrix(t *testing.T) {
 	for _, k := range kinds {
 		for _, s := range steps {
 			t.Run(k.name+"/"+s.name, func(t *testing.T) {
 				t.Parallel()
-				inBubble(t, true, func(r *rig) { r.cell(k, s) })
+				inBubble(t, true, func(_ *testing.T, r *rig) { r.cell(k, s) })
 			})
 		}
 	}
@@ -365,8 +429,12 @@
 	var once sync.Once
 	var end func()
 	struck := false
+	strikes := s.at
+	if s.name == queueStep {
+		strikes = r.whileQueued()
+	}
 	r.net.Observe(func(p memnet.Passing) {
-		if s.at(p) {
+		if strikes(p) {
 			once.Do(func() {
 				struck = true
 				end = k.cause(r, p)
@@ -376,6 +444,11 @@
 	ctx, cancel := context.WithTimeout(r.t.Context(), 20*time.Second)
 	defer cancel()
 	var wait sync.WaitGroup
+	if s.name == queueStep {
+		for range 12 {
+			wait.Go(func() { _ = r.query(ctx) })
+		}
+	}
 	wait.Go(func() { _ = r.query(ctx) })
 	wait.Go(func() { _ = r.booking(ctx, 1) })
 	wait.Go(func() { _ = r.booking(ctx, 3) })
@@ -391,6 +464,22 @@
 	r.recovers(k)
 }
 
+// whileQueued strikes at a dispatch that comes while many parts wait for a slot.
+func (r *rig) whileQueued() func(memnet.Passing) bool {
+	dispatch := request("/shards/")
+	var mu sync.Mutex
+	seen := 0
+	return func(p memnet.Passing) bool {
+		if !dispatch(p) {
+			return false
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		seen++
+		return seen == queuedAfter
+	}
+}
+
 // recovers checks that the fleet serves whole answers again.
 func (r *rig) recovers(k kind) {
 	r.allServers(backnd.Fault{})
--- a/internal/node/entry/fanout.go
+++ b/internal/node/entry/fanout.go
@@ -120,7 +120,7 @@
 		entry: e, request: q, ctx: streamCtx, plan: p,
 		machine: fanout.New(p, limits, &e.budget, e.targets(p)),
 		// Every attempt ends with one arrival, so no sender waits.
-		arrivals: make(chan arrival, fanout.MaxTries*len(p.Parts())+1),
+		arrivals: make(chan arrival, fanout.MaxAttempts*len(p.Parts())+1),
 	}
 	planned := e.clock.Now().MaxSince(begun)
 	f.loop(ctx)
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/fault"
@@ -26,7 +27,7 @@
 	admitTimeout    = 150 * time.Millisecond
 	connsByPeer     = 64
 	// MaxWork is the longest time that a part may be in progress at a backend server.
-	MaxWork = 2 * time.Second
+	MaxWork = time.Second
 )
 
 // Mesh runs the agent of one VM.
@@ -122,26 +123,23 @@
 	return ""
 }
 
-// Admit asks the home of a team for one request's token and returns a fault when it is not granted.
+// Admit asks the home of a team, and VMs that may have been it just before, for one request's token and returns a fault when it is not granted.
 func (m *Mesh) Admit(ctx context.Context, team ident.Team) *fault.Error {
-	var home ident.VM
-	var own bool
+	var homes []ident.VM
 	var retry time.Duration
-	m.With(func(now clock.Instant, a *agent.Agent) {
-		home = a.Home(now, team)
-		retry = a.RetryAfter(team)
-		if home == m.settings.Name() {
-			own = a.Take(now, team, 1)
-		}
-	})
-	if home == m.settings.Name() {
-		return limited(own, team, retry)
-	}
-	if home != "" {
-		if granted, ok := m.askHome(ctx, home, team); ok {
-			return limited(granted, team, retry)
+	m.With(func(now clock.Instant, a *agent.Agent) { homes, retry = a.Homes(now, team), a.RetryAfter(team) })
+	for _, home := range homes {
+		reply, err := m.askHome(ctx, home, inner.Admit{Team: team, Tokens: 1})
+		switch {
+		case err != nil:
+			m.log.Debug("home not reached", "home", home, "reason", err)
+		case reply.Granted:
+			return nil
+		case reply.Home:
+			return fault.New(fault.CodeRateLimited, fault.OutcomeNotSent, "team %s is above its rate", team).After(retry)
 		}
 	}
+	own := false
 	m.With(func(now clock.Instant, a *agent.Agent) { own = a.Take(now, team, 1) })
 	if own {
 		return nil
@@ -149,11 +147,24 @@
 	return fault.New(fault.CodeUnavailable, fault.OutcomeNotSent, "the rate of team %s cannot be reached now", team).After(time.Second)
 }
 
+func (m *Mesh) askHome(ctx context.Context, home ident.VM, ask inner.Admit) (inner.AdmitReply, error) {
+	if home == m.settings.Name() {
+		return m.Grant(ask), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	var reply inner.AdmitReply
+	if err := netio.Post(ctx, m.client, m.Address(home), inner.PathAdmit, ask, &reply, inner.MaxMessage); err != nil {
+		return reply, errors.Errorf("admit at %s: %w", home, err)
+	}
+	return reply, nil
+}
+
 // Grant answers another VM's request for a team's tokens.
 func (m *Mesh) Grant(ask inner.Admit) inner.AdmitReply {
 	var reply inner.AdmitReply
 	m.With(func(now clock.Instant, a *agent.Agent) {
-		reply.Home = a.Home(now, ask.Team) == m.settings.Name() || a.Level(now, ask.Team) >= ask.Tokens
+		reply.Home = a.ReadyHome(now, ask.Team) || a.Level(now, ask.Team) >= ask.Tokens
 		if reply.Home {
 			reply.Granted = a.Take(now, ask.Team, ask.Tokens)
 			reply.RetryMillis = int(a.RetryAfter(ask.Team) / time.Millisecond)
@@ -171,24 +182,6 @@
 	m.tellAll(ctx)
 }
 
-func limited(granted bool, team ident.Team, retry time.Duration) *fault.Error {
-	if granted {
-		return nil
-	}
-	return fault.New(fault.CodeRateLimited, fault.OutcomeNotSent, "team %s is above its rate", team).After(retry)
-}
-
-func (m *Mesh) askHome(ctx context.Context, home ident.VM, team ident.Team) (granted, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
-	defer cancel()
-	var reply inner.AdmitReply
-	err := netio.Post(ctx, m.client, m.Address(home), inner.PathAdmit, inner.Admit{Team: team, Tokens: 1}, &reply, inner.MaxMessage)
-	if err != nil || !reply.Home {
-		return false, false
-	}
-	return reply.Granted, true
-}
-
 func (m *Mesh) tickLoop(ctx context.Context) {
 	t := time.NewTicker(m.settings.Tick())
 	defer t.Stop()
@@ -248,21 +241,22 @@
 	}
 }
 
-// send carries one exchange, unless the last one with the same VM is still on its way.
+// send carries one exchange, unless the last one with the same VM is still on its way and nothing would be lost.
 func (m *Mesh) send(act agent.Send) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	address := m.address(act.VM)
-	busy := m.asking[act.VM] || m.closed
-	if address != "" && !busy {
-		m.asking[act.VM] = true
-		m.wait.Go(func() {
-			m.exchange(context.Background(), act, address)
-			m.mu.Lock()
-			delete(m.asking, act.VM)
-			m.mu.Unlock()
-		})
+	busy := m.asking[act.VM] && len(act.Exchange.Returns) == 0
+	if address == "" || busy || m.closed {
+		return
 	}
-	m.mu.Unlock()
+	m.asking[act.VM] = true
+	m.wait.Go(func() {
+		m.exchange(context.Background(), act, address)
+		m.mu.Lock()
+		delete(m.asking, act.VM)
+		m.mu.Unlock()
+	})
 }
 
 func (m *Mesh) exchange(ctx context.Context, act agent.Send, address string) {
@@ -335,13 +329,13 @@
 		address string
 	}
 	var targets []target
-	m.With(func(_ clock.Instant, a *agent.Agent) {
+	m.With(func(now clock.Instant, a *agent.Agent) {
 		if a.List() == nil {
 			return
 		}
 		for _, v := range a.List().All() {
 			if v.Name() != m.settings.Name() {
-				ex := inner.Exchange{Report: a.Member().Report(0), Revision: a.Documents().Revision}
+				ex := inner.Exchange{Report: a.Member().Report(now, 0), Revision: a.Documents().Revision}
 				targets = append(targets, target{agent.Send{VM: v.Name(), Exchange: ex}, v.Inner()})
 			}
 		}
--- a/internal/node/owner/backend.go
+++ b/internal/node/owner/backend.go
@@ -52,8 +52,8 @@
 	close   func()
 }
 
-func newLink(n netio.Network, server *catlog.Server) *link {
-	data, closeData := netio.Transport(n, server.Service().Slots())
+func newLink(n netio.Network, server *catlog.Server, lost func()) *link {
+	data, closeData := netio.Transport(netio.Watched{Network: n, Lost: lost}, server.Service().Slots())
 	control, closeControl := netio.Transport(n, controlConns)
 	return &link{
 		address: server.Address(),
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -208,11 +208,20 @@
 		if s.link != nil {
 			s.link.close()
 		}
-		s.link = newLink(o.network, published)
+		s.link = newLink(o.network, published, func() { o.wait.Go(func() { o.lost(sh, s) }) })
 	}
 	return s
 }
 
+// lost tells the machine that the server has closed a connection.
+func (o *Owner) lost(sh *shard, s *server) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	before := s.machine.Warmth()
+	o.stepServer(s, slots.Lost{})
+	o.tellWarmth(s, before)
+}
+
 // expect takes over what the former owner last said of the server.
 func (o *Owner) expect(s *server, published *catlog.Server) {
 	if s.machine.Warmth() != slots.WarmthCold || s.machine.Incarnation() != "" {
@@ -236,6 +245,7 @@
 	}
 	o.mesh.With(func(now clock.Instant, a *agent.Agent) {
 		env.Units, env.ColdUnits = a.Units(now, published)
+		env.MayProbe = a.MayProbe(now, published)
 		env.Usable = env.Usable && a.Fresh(now)
 	})
 	return env
@@ -344,7 +354,7 @@
 	if after == slots.WarmthWarm {
 		incarnation = s.machine.Incarnation()
 	}
-	o.mesh.With(func(_ clock.Instant, a *agent.Agent) { a.SetWarm(s.name, incarnation) })
+	o.mesh.With(func(now clock.Instant, a *agent.Agent) { a.SetWarm(now, s.name, incarnation) })
 	if before != after {
 		o.log.Info("server changed", "server", s.name, "before", before, "now", after)
 	}
--- a/internal/query/fanout/event.go
+++ b/internal/query/fanout/event.go
@@ -15,7 +15,7 @@
 	VM     ident.VM
 }
 
-// Attempt is one try at one part.
+// Attempt is one try at one part; Second is set when a backend server may do the part's work once more.
 type Attempt struct {
 	ID     int
 	Part   int
--- a/internal/query/fanout/fanout.go
+++ b/internal/query/fanout/fanout.go
@@ -9,8 +9,15 @@
 	"kumquatreel.example/kumquatreel/internal/query/plan"
 )
 
-// MaxTries bounds the attempts at one part.
-const MaxTries = 4
+const (
+	// MaxAttempts bounds the attempts at one part.
+	MaxAttempts = triesByRound * maxRounds
+	// triesByRound bounds the attempts at one part before a pause.
+	triesByRound = 4
+	maxRounds    = 4
+	// roundPause is how long a part waits when nobody could take it, for slots that change hands.
+	roundPause = 25 * time.Millisecond
+)
 
 // Machine drives one request; it is driven by one goroutine at a time.
 type Machine struct {
@@ -36,6 +43,9 @@
 	hedgeAt clock.Instant
 	hedged  bool
 	closed  bool
+	rounds  int
+	waiting bool
+	retryAt clock.Instant
 }
 
 type attempt struct {
@@ -96,7 +106,7 @@
 // send begins the next attempt at a part, or closes the part when there is none.
 func (m *Machine) send(now clock.Instant, index int, second bool) []Action {
 	p := &m.parts[index]
-	if p.next >= len(p.targets) || p.next >= MaxTries {
+	if p.next >= len(p.targets) || p.next >= triesByRound {
 		m.close(index)
 		return nil
 	}
@@ -206,7 +216,24 @@
 		m.close(a.Part)
 		return nil
 	}
-	return m.send(now, a.Part, true)
+	if p := &m.parts[a.Part]; free(outcome, code) && p.next >= min(triesByRound, len(p.targets)) {
+		return m.nextRound(now, a.Part)
+	}
+	return m.send(now, a.Part, !free(outcome, code))
+}
+
+// nextRound lets a part that nobody could take wait before its targets are tried again.
+func (m *Machine) nextRound(now clock.Instant, index int) []Action {
+	p := &m.parts[index]
+	p.rounds++
+	if p.rounds >= maxRounds {
+		m.close(index)
+		return nil
+	}
+	p.next = 0
+	p.waiting = true
+	p.retryAt = now.Add(roundPause)
+	return nil
 }
 
 // final reports whether another replica would fail alike.
@@ -233,6 +260,10 @@
 		return nil
 	}
 	for i := range m.parts {
+		if p := &m.parts[i]; p.waiting && now.Passed(p.retryAt) {
+			p.waiting = false
+			out = append(out, m.send(now, i, false)...)
+		}
 		if m.hedgeDue(now, i) {
 			out = append(out, m.hedge(now, i)...)
 		}
@@ -346,6 +377,9 @@
 	}
 	for i := range m.parts {
 		p := &m.parts[i]
+		if p.waiting && p.retryAt.Upper() < at.Upper() {
+			at = p.retryAt
+		}
 		if !p.closed && !p.hedged && p.flying == 1 && p.hedgeAt.Upper() > 0 && p.hedgeAt.Upper() < at.Upper() {
 			at = p.hedgeAt
 		}
--- a/internal/stand/backnd/backnd.go
+++ b/internal/stand/backnd/backnd.go
@@ -30,6 +30,10 @@
 
 const maxBody = 1 << 20
 
+// signTime is how long a sign of a cold start takes to reach the other end, and what is under way to arrive:
+// a closed connection, or the end of the first part that was begun cold.
+const signTime = 2 * time.Millisecond
+
 // Server is a stand-in for one backend server.
 type Server struct {
 	model Model
@@ -45,7 +49,8 @@
 	draining    bool
 	frozen      chan struct{}
 	downUntil   time.Time
-	coldSeen    bool
+	coldSince   time.Time
+	signAt      time.Time
 	fault       Fault
 	running     map[string]context.CancelFunc
 	open        map[net.Conn]struct{}
@@ -60,6 +65,8 @@
 	Partial bool `json:"partial"`
 	// Crossed answers with another request's id.
 	Crossed bool `json:"crossed"`
+	// OtherVersion answers from the next index version.
+	OtherVersion bool `json:"otherVersion"`
 	// DropAnswer closes the connection after the work is done.
 	DropAnswer bool `json:"dropAnswer"`
 	// Slow multiplies the service time when above zero.
@@ -70,7 +77,7 @@
 func New(model Model) *Server {
 	s := &Server{
 		model: model, rng: rand.New(rand.NewPCG(model.Seed, xxhash.Sum64String(string(model.Name)))),
-		incarnation: 1, coldSeen: true, freed: make(chan struct{}), running: make(map[string]context.CancelFunc),
+		incarnation: 1, signAt: time.Now(), freed: make(chan struct{}), running: make(map[string]context.CancelFunc),
 		open: make(map[net.Conn]struct{}),
 	}
 	s.record.RunsByRecord = make(map[string]int)
@@ -97,10 +104,12 @@
 
 func (s *Server) turnCold(newIncarnation bool) {
 	s.completed = 0
-	s.coldSeen = newIncarnation
+	s.coldSince = time.Now()
+	s.signAt = time.Time{}
 	if !newIncarnation {
 		return
 	}
+	s.signAt = s.coldSince.Add(signTime)
 	s.incarnation++
 	s.inFlight = 0
 	for _, stop := range s.running {
@@ -242,8 +251,9 @@
 		return
 	}
 	incarnation := s.begin(id, r, body, cancel)
+	begun := time.Now()
 	done := s.work(ctx)
-	s.leave(id, incarnation, done)
+	s.leave(id, incarnation, begun, done)
 	if !done {
 		s.stopped(ctx, w, r)
 		return
@@ -318,7 +328,8 @@
 	s.inFlight++
 	s.record.MaxInFlight = max(s.record.MaxInFlight, s.inFlight)
 	s.record.LastStart = time.Now()
-	if s.completed < s.model.WarmAfter && s.coldSeen && s.inFlight > s.model.ColdSlots {
+	told := !s.signAt.IsZero() && !time.Now().Before(s.signAt)
+	if s.completed < s.model.WarmAfter && told && s.inFlight > s.model.ColdSlots {
 		s.record.ColdOverruns++
 		s.record.Falls++
 		s.fall(s.model.FallFor)
@@ -374,7 +385,7 @@
 	}
 }
 
-func (s *Server) leave(id string, incarnation int, done bool) {
+func (s *Server) leave(id string, incarnation int, begun time.Time, done bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.running, id)
@@ -384,7 +395,9 @@
 	s.inFlight--
 	if done {
 		s.completed++
-		s.coldSeen = s.completed < s.model.WarmAfter
+		if s.signAt.IsZero() && !begun.Before(s.coldSince) {
+			s.signAt = time.Now().Add(signTime)
+		}
 	}
 	close(s.freed)
 	s.freed = make(chan struct{})
@@ -407,6 +420,9 @@
 	s.mu.Lock()
 	f := s.fault
 	s.mu.Unlock()
+	if f.OtherVersion {
+		version++
+	}
 	raw, err := json.Marshal(owner.BackendAnswer{Items: s.items(r.PathValue("service"), r.PathValue("shard"), version)})
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/stand/drive/drive.go
+++ b/internal/stand/drive/drive.go
@@ -182,6 +182,7 @@
 		if s.nodes[n.VM] != n {
 			return
 		}
+		n.Agent.StopLending()
 		if n.Agent.Lent(n.Clock()) > 0 {
 			s.After(s.opts.Tick, wait)
 			return
@@ -264,7 +265,7 @@
 
 // exchange carries one exchange there and back.
 func (s *Sim) exchange(n *Node, act agent.Send) {
-	if n.asking[act.VM] {
+	if n.asking[act.VM] && len(act.Exchange.Returns) == 0 {
 		return
 	}
 	n.asking[act.VM] = true
--- a/internal/stand/platf/platf.go
+++ b/internal/stand/platf/platf.go
@@ -34,6 +34,7 @@
 	mode    Mode
 	values  map[string]value
 	old     map[string]value
+	before  map[string]string
 	changed chan struct{}
 	calls   int64
 }
@@ -45,7 +46,7 @@
 
 // New returns a platform without values.
 func New() *Platform {
-	return &Platform{values: make(map[string]value), changed: make(chan struct{})}
+	return &Platform{values: make(map[string]value), before: make(map[string]string), changed: make(chan struct{})}
 }
 
 // Put publishes a value under the next revision of its key and returns the revision.
@@ -53,6 +54,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	revision := p.values[key].revision + 1
+	p.before[key] = p.values[key].text
 	p.values[key] = value{revision: revision, text: text}
 	p.signal()
 	return revision
@@ -152,3 +154,16 @@
 	}
 	return v, ok, p.mode, p.changed
 }
+
+// Forget makes reads of a key answer with an older revision that was published before, as a stale replica does.
+func (p *Platform) Forget(key string, revision int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.old = map[string]value{}
+	for k, v := range p.values {
+		p.old[k] = v
+	}
+	p.old[key] = value{revision: revision, text: p.before[key]}
+	p.mode = ModeStale
+	p.signal()
+}
--- a/internal/wire/inner/inner.go
+++ b/internal/wire/inner/inner.go
@@ -30,13 +30,15 @@
 	Incarnation string   `json:"incarnation,omitempty"`
 }
 
-// Grant lends a unit; a rate comes with its size and the tokens that move along.
+// Grant lends slots or a rate; a rate comes with its size and the tokens that move along.
 type Grant struct {
-	Key    lend.Key `json:"key"`
-	Serial int64    `json:"serial"`
-	Rate   float64  `json:"rate,omitempty"`
-	Burst  float64  `json:"burst,omitempty"`
-	Level  float64  `json:"level,omitempty"`
+	Key         lend.Key      `json:"key"`
+	Serial      int64         `json:"serial"`
+	Slots       lend.SlotLoan `json:"slots,omitzero"`
+	Incarnation string        `json:"incarnation,omitempty"`
+	Rate        float64       `json:"rate,omitempty"`
+	Burst       float64       `json:"burst,omitempty"`
+	Level       float64       `json:"level,omitempty"`
 }
 
 // GiveBack ends a loan early and returns the tokens left.
--- a/internal/wire/netio/netio.go
+++ b/internal/wire/netio/netio.go
@@ -61,6 +61,43 @@
 	return t, t.CloseIdleConnections
 }
 
+// Watched is a network that tells when the other end of one of its connections closes it.
+type Watched struct {
+	Network
+	Lost func()
+}
+
+// Dial opens a connection that is watched.
+func (w Watched) Dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := w.Network.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &watchedConn{Conn: conn, lost: w.Lost}, nil
+}
+
+type watchedConn struct {
+	net.Conn
+	lost   func()
+	closed atomic.Bool
+}
+
+// Read reports an end that this side did not cause.
+func (c *watchedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	var timeout net.Error
+	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) && !c.closed.Swap(true) {
+		c.lost()
+	}
+	return n, err
+}
+
+// Close closes the connection from this side.
+func (c *watchedConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
 // Serve serves HTTP on an address until the returned function is called, which waits for requests in progress as long as its context lasts.
 func Serve(n Network, address string, h http.Handler) (string, func(context.Context) error, error) {
 	l, err := n.Listen(address)
