kumquatreel: script crashes, freezes, outages and a rolling restart of real processes

Cause: the fleet was proved in virtual time only. Ruled out: taking the first answer of a starting fleet for whole; it reports its lower coverage truly, so the script waits for a whole one.

--- a/cmd/kumquatreel/caller.go
+++ b/cmd/kumquatreel/caller.go
@@ -26,6 +26,7 @@
 	Record  string        `long:"record" description:"record, for a route that is not idempotent"`
 	Body    string        `long:"body" default:"{}" description:"body in JSON"`
 	Ticket  bool          `long:"ticket" description:"get a ticket first, so that a repeat cannot run twice"`
+	Whole   bool          `long:"whole" description:"fail unless the answer covers every shard"`
 	Timeout time.Duration `long:"timeout" default:"5s" description:"time for the whole exchange"`
 }
 
@@ -50,6 +51,9 @@
 	if err != nil {
 		return errors.Errorf("query: %w", err)
 	}
+	if c.Whole && answer.Coverage.Shards < answer.Coverage.ShardsTotal {
+		return errors.Newf("query: %d of %d shards are covered: %v", answer.Coverage.Shards, answer.Coverage.ShardsTotal, answer.Coverage.Missing)
+	}
 	return printJSON(answer)
 }
 
@@ -60,6 +64,22 @@
 // Execute prints a VM's status.
 func (c *statusCommand) Execute([]string) error { return printPage(c.Operator, "/status") }
 
+type readyCommand struct {
+	Operator string `long:"operator" required:"yes" description:"a VM's address for operators"`
+}
+
+// Execute fails unless the VM is ready.
+func (c *readyCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	t, closeIdle := netio.Transport(netio.TCP{}, 1)
+	defer closeIdle()
+	if err := netio.Get(ctx, &http.Client{Transport: t}, c.Operator, "/readyz", nil, maxPage); err != nil {
+		return errors.Errorf("not ready: %w", err)
+	}
+	return nil
+}
+
 type explainCommand struct {
 	Operator string `long:"operator" required:"yes" description:"a VM's address for operators"`
 	Args     struct {
--- a/cmd/kumquatreel/main.go
+++ b/cmd/kumquatreel/main.go
@@ -31,6 +31,7 @@
 		{"demo", "Show the system at work", "Runs a platform, backend servers and three entry VMs in this process over loopback and tells what happens.\n\nExample: kumquatreel demo", &demoCommand{}},
 		{"query", "Send a request", "Asks the directory for an address, sends one request and prints the answer.\n\nExample: KUMQUATREEL_KEY=secret-team0 kumquatreel query --seed 127.0.0.1:7402 --team team0 --route lookup", &queryCommand{}},
 		{"status", "Show a VM's view", "Prints what one VM says of itself and the fleet.\n\nExample: kumquatreel status --operator 127.0.0.1:7404", &statusCommand{}},
+		{"ready", "Ask whether a VM is ready", "Succeeds when a VM serves callers and holds its share of the fleet's work.\n\nExample: kumquatreel ready --operator 127.0.0.1:7404", &readyCommand{}},
 		{"explain", "Explain a request", "Prints what a VM did for one recent request: what was sent where, why, and what came back.\n\nExample: kumquatreel explain --operator 127.0.0.1:7404 vm0-0a1b-1", &explainCommand{}},
 		{"version", "Show the version", "Prints the program's version.\n\nExample: kumquatreel version", &versionCommand{}},
 	} {
--- a/cmd/kumquatreel/script_test.go
+++ b/cmd/kumquatreel/script_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -40,14 +42,17 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"start":   scriptStart,
-			"pause":   scriptPause,
-			"resume":  scriptSignal(syscall.SIGCONT),
-			"freeze":  scriptSignal(syscall.SIGSTOP),
-			"end":     scriptSignal(syscall.SIGTERM),
-			"crash":   scriptSignal(syscall.SIGKILL),
-			"replace": scriptReplace,
-			"until":   scriptUntil,
+			"start":    scriptStart,
+			"pause":    scriptPause,
+			"resume":   scriptSignal(syscall.SIGCONT),
+			"freeze":   scriptSignal(syscall.SIGSTOP),
+			"end":      scriptSignal(syscall.SIGTERM),
+			"crash":    scriptSignal(syscall.SIGKILL),
+			"replace":  scriptReplace,
+			"until":    scriptUntil,
+			"gone":     scriptGone,
+			"lab-post": scriptSend(http.MethodPost),
+			"lab-put":  scriptSend(http.MethodPut),
 		},
 	})
 }
@@ -115,6 +120,40 @@
 	})
 }
 
+// scriptGone waits until the background process of a name has ended, as in: gone vm0.
+func scriptGone(ts *testscript.TestScript, _ bool, args []string) {
+	raw, err := os.ReadFile(ts.MkAbs(args[0] + ".pid"))
+	ts.Check(err)
+	pid, err := strconv.Atoi(string(raw))
+	ts.Check(err)
+	for limit := time.Now().Add(time.Minute); time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
+		if syscall.Kill(pid, 0) != nil {
+			return
+		}
+	}
+	ts.Fatalf("%s has not ended", args[0])
+}
+
+// scriptSend sends a file, or nothing, to a stand-in's switch, as in: lab-put ADDRESS PATH FILE.
+func scriptSend(method string) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		var body []byte
+		if len(args) > 2 {
+			raw, err := os.ReadFile(ts.MkAbs(args[2]))
+			ts.Check(err)
+			body = raw
+		}
+		req, err := http.NewRequestWithContext(context.Background(), method, "http://"+args[0]+args[1], bytes.NewReader(body))
+		ts.Check(err)
+		resp, err := http.DefaultClient.Do(req)
+		ts.Check(err)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			ts.Fatalf("%s answered %s", args[1], resp.Status)
+		}
+	}
+}
+
 // scriptPause waits for a span, as in: pause 2s.
 func scriptPause(ts *testscript.TestScript, _ bool, args []string) {
 	d, err := time.ParseDuration(args[0])
--- a/internal/node/daemon/matrix_test.go
+++ b/internal/node/daemon/matrix_test.go
@@ -46,12 +46,12 @@
 }
 
 // inBubble runs a test of a whole fleet in virtual time.
-func inBubble(t *testing.T, warm bool, do func(*testing.T, *rig)) {
+func inBubble(t *testing.T, do func(*testing.T, *rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New(500 * time.Microsecond)
 		fleet, stop, err := local.Start(sample.Small(9000), local.Options{
-			Network: n.Host, Warm: warm, Seed: 7,
+			Network: n.Host, Warm: true, Seed: 7,
 			Tune: func(c *config.Text) { c.HoldMillis, c.ReclaimMillis = 8000, 12000 },
 		})
 		if err != nil {
@@ -397,7 +397,7 @@
 		for _, s := range steps {
 			t.Run(pair[0]+"+"+pair[1]+"/"+s.name, func(t *testing.T) {
 				t.Parallel()
-				inBubble(t, true, func(_ *testing.T, r *rig) { r.cell(both, s) })
+				inBubble(t, func(_ *testing.T, r *rig) { r.cell(both, s) })
 			})
 		}
 	}
@@ -418,7 +418,7 @@
 		for _, s := range steps {
 			t.Run(k.name+"/"+s.name, func(t *testing.T) {
 				t.Parallel()
-				inBubble(t, true, func(_ *testing.T, r *rig) { r.cell(k, s) })
+				inBubble(t, func(_ *testing.T, r *rig) { r.cell(k, s) })
 			})
 		}
 	}
--- a/internal/node/daemon/scenario_test.go
+++ b/internal/node/daemon/scenario_test.go
@@ -54,7 +54,7 @@
 }
 
 func TestRollingRestart(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		res := r.underLoad(50, 2*time.Minute, func() {
 			for i := range 3 {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
@@ -74,7 +74,7 @@
 }
 
 func TestShutdownFinishesWork(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		r.allServers(backnd.Fault{Slow: 20})
 		var wait sync.WaitGroup
 		for range 20 {
@@ -111,7 +111,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			inBubble(t, true, func(_ *testing.T, r *rig) {
+			inBubble(t, func(_ *testing.T, r *rig) {
 				r.underLoad(loadRate, 6*time.Second, func() { turn(r) })
 			})
 		})
@@ -132,7 +132,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			inBubble(t, true, func(_ *testing.T, r *rig) {
+			inBubble(t, func(_ *testing.T, r *rig) {
 				var out time.Time
 				r.underLoad(loadRate/2, 10*time.Second, func() {
 					out = time.Now()
@@ -156,7 +156,7 @@
 }
 
 func TestKeyWithdrawnUnderLoad(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		r.allServers(backnd.Fault{Slow: 10})
 		var runs int
 		r.underLoad(loadRate/3, 8*time.Second, func() {
@@ -171,7 +171,7 @@
 }
 
 func TestVMWithoutNewsStops(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		lonely := r.fleet.Deployment.List().VMs[0].Caller
 		r.net.Cut("vm0", "vm1")
 		r.net.Cut("vm0", "vm2")
@@ -191,7 +191,7 @@
 }
 
 func TestConfigurationNeverReverts(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		r.fleet.Platform.SetMode(platf.ModeStale)
 		r.fleet.Platform.SetMode(platf.ModeUp)
 		r.fleet.Platform.SetMode(platf.ModeStale)
@@ -238,7 +238,7 @@
 }
 
 func TestRateHoldsOverTheFleet(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		begun := time.Now()
 		before := r.teamRuns()
 		var wait sync.WaitGroup
@@ -271,7 +271,7 @@
 }
 
 func TestTeamWithinItsRateIsServed(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		modest, closeIdle := r.fleet.Client("team1")
 		defer closeIdle()
 		rec := load.NewRecorder()
@@ -286,7 +286,7 @@
 }
 
 func TestPlatformCallsStayFew(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		before := r.fleet.Platform.Calls()
 		time.Sleep(time.Minute)
 		calls := r.fleet.Platform.Calls() - before
@@ -297,7 +297,7 @@
 }
 
 func TestOpenRouteNeedsNoKey(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		c, closeIdle := client.New(r.net.Host("caller"), []string{r.fleet.Deployment.List().VMs[0].Caller}, "", "")
 		defer closeIdle()
 		phase(t, "an open route answers", func() {
@@ -313,7 +313,7 @@
 }
 
 func TestBadRequests(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		address := r.fleet.Deployment.List().VMs[0].Caller
 		for name, c := range map[string]struct {
 			query caller.Query
@@ -336,7 +336,7 @@
 }
 
 func TestTicketElsewhere(t *testing.T) {
-	inBubble(t, true, func(t *testing.T, r *rig) {
+	inBubble(t, func(t *testing.T, r *rig) {
 		tickets, err := r.client.Tickets(t.Context(), 2)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/wire/netio/netio.go
+++ b/internal/wire/netio/netio.go
@@ -85,13 +85,20 @@
 // Read reports an end that this side did not cause.
 func (c *watchedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	var timeout net.Error
-	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) && !c.closed.Swap(true) {
+	if err == nil || isTimeout(err) {
+		return n, err
+	}
+	if !c.closed.Swap(true) {
 		c.lost()
 	}
 	return n, err
 }
 
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // Close closes the connection from this side.
 func (c *watchedConn) Close() error {
 	c.closed.Store(true)
