gauge: measure tail, coverage, domains, fairness, refusals, cold starts and cost

Change: a model of backend servers in virtual time that drives the product's fanout and slots; reports beside baselines; plots.

--- a/cmd/kumquatlab/main.go
+++ b/cmd/kumquatlab/main.go
@@ -27,6 +27,7 @@
 		{"platform", "Run the platform stand-in", "Serves published documents, and switches for outages and staleness on a second address.\n\nExample: kumquatlab platform --dir examples/registry --listen 127.0.0.1:7400 --control 127.0.0.1:7401", &platformCommand{}},
 		{"backend", "Run backend server stand-ins", "Serves the backend servers of an example deployment until a signal.\n\nExample: kumquatlab backend --deployment registry", &backendCommand{}},
 		{"run", "Run a whole example", "Runs platform, backend servers and entry VMs of an example in one process until a signal.\n\nExample: kumquatlab run --deployment registry", &runCommand{}},
+		{"measure", "Measure the system", "Runs measures and prints each figure beside its target and its baselines; 'all' runs every one.\n\nExample: kumquatlab measure refuse tail --seed 1 --report report", &measureCommand{}},
 		{"load", "Load a deployment", "Sends requests at a fixed rate for a bounded time and prints what came back.\n\nExample: kumquatlab load --seed-address 127.0.0.1:7402 --team team0 --route lookup --rate 20 --for 5s", &loadCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
--- /dev/null
+++ b/cmd/kumquatlab/measure.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/lab/gauge"
+)
+
+type measureCommand struct {
+	Seed   uint64 `long:"seed" default:"1" description:"seed of the run"`
+	JSON   bool   `long:"json" description:"print JSON"`
+	Report string `long:"report" description:"folder for a page of plots"`
+	Args   struct {
+		Names []string `positional-arg-name:"NAME" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute runs measures and prints them.
+func (c *measureCommand) Execute([]string) error {
+	names := c.Args.Names
+	if len(names) == 1 && names[0] == "all" {
+		names = gauge.Names()
+	}
+	for _, name := range names {
+		r, err := gauge.Run(name, c.Seed)
+		if err != nil {
+			return err
+		}
+		if err := c.print(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *measureCommand) print(r gauge.Report) error {
+	if c.Report != "" {
+		if err := gauge.Plot(c.Report, r); err != nil {
+			return errors.Errorf("report: %w", err)
+		}
+	}
+	if !c.JSON {
+		gauge.Print(os.Stdout, r)
+		return nil
+	}
+	raw, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Errorf("print: %w", err)
+	}
+	fmt.Println(string(raw))
+	return nil
+}
--- /dev/null
+++ b/internal/lab/gauge/cost.go
@@ -0,0 +1,181 @@
+package gauge
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/node/owner"
+	"kumquatreel.example/kumquatreel/internal/stand/backnd"
+	"kumquatreel.example/kumquatreel/internal/stand/local"
+	"kumquatreel.example/kumquatreel/internal/stand/sample"
+	"kumquatreel.example/kumquatreel/internal/wire/caller"
+	"kumquatreel.example/kumquatreel/internal/wire/netio"
+)
+
+const (
+	costPort    = 19000
+	costQueries = 400
+	costLimit   = 90 * time.Second
+)
+
+// usage is what the process has spent.
+type usage struct {
+	processor time.Duration
+	allocs    uint64
+	bytes     uint64
+}
+
+func spent() (usage, error) {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		return usage{}, errors.Errorf("read usage: %w", err)
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return usage{
+		processor: time.Duration(r.Utime.Nano() + r.Stime.Nano()),
+		allocs:    m.Mallocs, bytes: m.TotalAlloc,
+	}, nil
+}
+
+func cost(seed uint64) (Report, error) {
+	r := Report{
+		Target:  "no target of its own; the price of the owners' hop beside direct dispatch, all parties in one process over loopback",
+		Columns: []string{"wall us", "cpu us", "cpu us/part", "allocs/part", "KB/part", "conns/server"},
+		Met:     true,
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), costLimit)
+	defer cancel()
+	fleet, stop, err := local.Start(costDeployment(), local.Options{
+		Network: local.TCP, Warm: true, Seed: seed,
+		TuneModel: func(m *backnd.Model) { m.Median, m.ConnectCost = 0, 0 },
+	})
+	if err != nil {
+		return r, err
+	}
+	defer stop()
+	if err := fleet.WaitReady(ctx); err != nil {
+		return r, err
+	}
+	time.Sleep(time.Second)
+	c, closeIdle := fleet.Client("team0")
+	defer closeIdle()
+	through := func() error {
+		_, err := c.Query(ctx, caller.Query{Route: "search"})
+		return err
+	}
+	direct, closeDirect := directQuery(ctx, fleet)
+	defer closeDirect()
+	for _, v := range []struct {
+		name string
+		do   func() error
+	}{{"through owners", through}, {"direct", direct}} {
+		row, err := costOf(v.do, fleet)
+		if err != nil {
+			return r, err
+		}
+		r.Rows = append(r.Rows, Row{v.name, row})
+	}
+	return r, nil
+}
+
+func costDeployment() sample.Deployment {
+	d := sample.Small(costPort)
+	d.Kinds[0].Count = 32
+	for i := range d.Teams {
+		d.Teams[i].Rate, d.Teams[i].Burst = 100000, 10000
+	}
+	return d
+}
+
+func costOf(do func() error, fleet *local.Fleet) ([]float64, error) {
+	for range 50 {
+		if err := do(); err != nil {
+			return nil, errors.Errorf("warm up: %w", err)
+		}
+	}
+	before, err := spent()
+	if err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	for range costQueries {
+		if err := do(); err != nil {
+			return nil, errors.Errorf("query: %w", err)
+		}
+	}
+	wall := time.Since(begun)
+	after, err := spent()
+	if err != nil {
+		return nil, err
+	}
+	conns, servers := 0, 0
+	fleet.Backends(func(t catlog.ServerText, s *backnd.Server) {
+		if strings.HasPrefix(string(t.Name), "lookup") {
+			conns += s.Record().MaxConnections
+			servers++
+		}
+	})
+	parts := float64(costQueries * fleet.Deployment.Kinds[0].Count)
+	processor := float64((after.processor - before.processor).Microseconds())
+	return []float64{
+		float64(wall.Microseconds()) / costQueries, processor / costQueries, processor / parts,
+		float64(after.allocs-before.allocs) / parts, float64(after.bytes-before.bytes) / parts / 1000,
+		float64(conns) / float64(servers),
+	}, nil
+}
+
+// directQuery sends the parts of a query straight to the backend servers.
+func directQuery(ctx context.Context, fleet *local.Fleet) (do func() error, closeIdle func()) {
+	t, closeIdle := netio.Transport(netio.TCP{}, 4)
+	client := &http.Client{Transport: t}
+	var addresses, services []string
+	fleet.Backends(func(text catlog.ServerText, _ *backnd.Server) {
+		name := string(text.Name)
+		if strings.HasPrefix(name, "lookup") && strings.HasSuffix(name, "-0") {
+			addresses = append(addresses, text.Address)
+			services = append(services, strings.TrimSuffix(name, "-0"))
+		}
+	})
+	return func() error {
+		var wait sync.WaitGroup
+		failures := make(chan error, len(addresses))
+		for i, address := range addresses {
+			wait.Go(func() { failures <- directPart(ctx, client, address, services[i], i) })
+		}
+		wait.Wait()
+		close(failures)
+		for err := range failures {
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	}, closeIdle
+}
+
+func directPart(ctx context.Context, client *http.Client, address, service string, i int) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/shards/"+service+"/0", nil)
+	if err != nil {
+		return errors.Errorf("prepare: %w", err)
+	}
+	req.Header.Set(owner.HeaderRequest, "direct-"+strconv.Itoa(i))
+	req.Header.Set(owner.HeaderDeadline, "1000000")
+	req.Header.Set(owner.HeaderVersion, "1")
+	resp, err := client.Do(req)
+	if err != nil {
+		return errors.Errorf("ask: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer owner.BackendAnswer
+	return netio.ReadJSON(resp.Body, 1<<20, &answer)
+}
--- /dev/null
+++ b/internal/lab/gauge/gauge.go
@@ -0,0 +1,124 @@
+package gauge
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-echarts/go-echarts/v2/charts"
+	"github.com/go-echarts/go-echarts/v2/opts"
+)
+
+// Row is one variant of a measure with its figures, in the order of the report's columns.
+type Row struct {
+	Name    string    `json:"name"`
+	Figures []float64 `json:"figures"`
+}
+
+// Report is a finished measure.
+type Report struct {
+	Name    string   `json:"name"`
+	Seed    uint64   `json:"seed"`
+	Target  string   `json:"target"`
+	Met     bool     `json:"met"`
+	Columns []string `json:"columns"`
+	Rows    []Row    `json:"rows"`
+	Notes   []string `json:"notes,omitempty"`
+}
+
+// Measure runs one measure with a seed.
+type Measure func(seed uint64) (Report, error)
+
+var measures = map[string]Measure{
+	"tail":     tail,
+	"coverage": coverage,
+	"domain":   domain,
+	"fair":     fair,
+	"refuse":   refuse,
+	"cold":     cold,
+	"cost":     cost,
+	"control":  control,
+}
+
+// Names returns the names of the measures in order.
+func Names() []string {
+	var out []string
+	for name := range measures {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Run runs a measure by name.
+func Run(name string, seed uint64) (Report, error) {
+	m := measures[name]
+	if m == nil {
+		return Report{}, errors.Newf("no measure %q; there are %s", name, strings.Join(Names(), ", "))
+	}
+	r, err := m(seed)
+	if err != nil {
+		return Report{}, errors.Errorf("measure %s: %w", name, err)
+	}
+	r.Name, r.Seed = name, seed
+	return r, nil
+}
+
+// Print writes a report as a table.
+func Print(w io.Writer, r Report) {
+	fmt.Fprintf(w, "%s (seed %d)\ntarget: %s\n", r.Name, r.Seed, r.Target)
+	fmt.Fprintf(w, "%-34s", "")
+	for _, c := range r.Columns {
+		fmt.Fprintf(w, "%16s", c)
+	}
+	fmt.Fprintln(w)
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "%-34s", row.Name)
+		for _, f := range row.Figures {
+			fmt.Fprintf(w, "%16.4g", f)
+		}
+		fmt.Fprintln(w)
+	}
+	for _, n := range r.Notes {
+		fmt.Fprintln(w, n)
+	}
+	verdict := "missed"
+	if r.Met {
+		verdict = "met"
+	}
+	fmt.Fprintln(w, "the target is", verdict)
+}
+
+// Plot writes a report as a page of bar charts into a folder, one chart a column.
+func Plot(dir string, r Report) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return errors.Errorf("plot: %w", err)
+	}
+	f, err := os.Create(filepath.Join(dir, r.Name+".html"))
+	if err != nil {
+		return errors.Errorf("plot: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	for i, column := range r.Columns {
+		bar := charts.NewBar()
+		bar.SetGlobalOptions(charts.WithTitleOpts(opts.Title{Title: r.Name + ": " + column, Subtitle: r.Target}))
+		var names []string
+		var data []opts.BarData
+		for _, row := range r.Rows {
+			names = append(names, row.Name)
+			data = append(data, opts.BarData{Value: row.Figures[i]})
+		}
+		bar.SetXAxis(names).AddSeries(column, data)
+		if err := bar.Render(f); err != nil {
+			return errors.Errorf("plot: %w", err)
+		}
+	}
+	return nil
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/lab/model/model.go
@@ -0,0 +1,272 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/lab/sched"
+	"kumquatreel.example/kumquatreel/internal/limit/slots"
+	"kumquatreel.example/kumquatreel/internal/query/fanout"
+	"kumquatreel.example/kumquatreel/internal/query/hedge"
+	"kumquatreel.example/kumquatreel/internal/query/merge"
+	"kumquatreel.example/kumquatreel/internal/query/plan"
+)
+
+// Params describe a modelled system.
+type Params struct {
+	Shards    int
+	Replicas  int
+	Slots     int
+	ColdSlots int
+	WarmAfter int
+	Domains   int
+	Median    time.Duration
+	Spread    float64
+	// StraggleShare of the parts take StraggleFactor times as long.
+	StraggleShare  float64
+	StraggleFactor float64
+	ColdFactor     float64
+	FallFor        time.Duration
+	// Hop is the one-way time between a VM and another party.
+	Hop time.Duration
+	// ExtraLoad is the share of second attempts allowed, HedgeQuantile the quantile after which a part is late.
+	ExtraLoad     float64
+	HedgeQuantile float64
+	Deadline      time.Duration
+	MinCoverage   float64
+	EarlyAfter    time.Duration
+	EarlyCoverage float64
+	QueueMax      int
+	// Unfair puts all teams into one line.
+	Unfair bool
+	// Bold skips the caution with cold servers.
+	Bold bool
+	Seed uint64
+}
+
+// World is a modelled system in virtual time.
+type World struct {
+	sched.Queue
+	Params  Params
+	Catalog *catlog.Catalog
+	Servers []*Server
+
+	rng     *rand.Rand
+	budget  hedge.Budget
+	latency *hedge.Latency
+	serial  int
+}
+
+// Server is a modelled backend server with its owner's decisions.
+type Server struct {
+	Name     ident.Server
+	Domain   int
+	Out      bool
+	Runs     int
+	Overruns int
+	// LastBegun is when a part was begun last.
+	LastBegun time.Duration
+
+	world       *World
+	machine     *slots.Machine
+	jobs        map[slots.ID]*job
+	running     int
+	done        int
+	incarnation int
+	told        time.Duration
+	coldSince   time.Duration
+	downUntil   time.Duration
+}
+
+// job is one attempt at a server.
+type job struct {
+	id       slots.ID
+	deadline time.Duration
+	reply    func(ok bool, outcome fault.Outcome, code fault.Code)
+	aborted  bool
+	over     bool
+}
+
+// New returns a modelled system whose servers are warm.
+func New(p Params) *World {
+	w := &World{Params: p, rng: rand.New(rand.NewPCG(p.Seed, 1)), latency: hedge.NewLatency()}
+	w.Catalog = w.catalog()
+	for i, s := range w.Catalog.Servers() {
+		w.Servers = append(w.Servers, &Server{
+			Name: s.Name(), Domain: domainOf(i/p.Replicas, i%p.Replicas, p.Domains), world: w, machine: slots.New(),
+			jobs: make(map[slots.ID]*job), done: p.WarmAfter, incarnation: 1,
+		})
+	}
+	return w
+}
+
+func domainOf(shard, replica, domains int) int { return (shard + replica) % domains }
+
+// catalog makes the configuration of one service with all shards.
+func (w *World) catalog() *catlog.Catalog {
+	p := w.Params
+	doc := catlog.Text{
+		Preset:  "p",
+		Presets: map[string]catlog.PresetText{"p": {DeadlinePercent: 100, RatePercent: 100, QueuePerServer: p.QueueMax}},
+		Domains: make(map[ident.Domain]catlog.DomainState),
+		Routes:  []catlog.RouteText{{Name: "q", Services: []string{"s"}, Idempotent: true, Open: true, Class: "q", DeadlineMillis: int(p.Deadline / time.Millisecond)}},
+	}
+	service := catlog.ServiceText{Name: "s", IndexVersion: 1, Slots: p.Slots, ColdSlots: p.ColdSlots, Connections: 4 * p.Slots, WarmAfter: p.WarmAfter}
+	for i := range p.Shards {
+		shard := catlog.ShardText{Weight: 1000}
+		for r := range p.Replicas {
+			domain := ident.Domain(fmt.Sprintf("d%d", domainOf(i, r, p.Domains)))
+			doc.Domains[domain] = catlog.DomainIn
+			name := ident.Server(fmt.Sprintf("s%d-%d", i, r))
+			doc.Servers = append(doc.Servers, catlog.ServerText{Name: name, Address: "127.0.0.1:1", Domain: domain})
+			shard.Servers = append(shard.Servers, name)
+		}
+		service.Shards = append(service.Shards, shard)
+	}
+	doc.Services = []catlog.ServiceText{service}
+	c, err := catlog.Parse(1, []byte(text(doc)))
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// Outcome is how a request ended.
+type Outcome struct {
+	Took     time.Duration
+	Coverage float64
+	// TrueCoverage is the share of the shards whose answer really came.
+	TrueCoverage float64
+	Failed       bool
+	Second       int
+	First        int
+}
+
+// request is one fan-out in progress.
+type request struct {
+	world   *World
+	team    ident.Team
+	weight  float64
+	machine *fanout.Machine
+	begun   time.Duration
+	arrived map[int]bool
+	outcome Outcome
+	end     func(Outcome)
+	ended   bool
+}
+
+// Request begins a request of a team and calls end with its outcome.
+func (w *World) Request(team ident.Team, weight float64, end func(Outcome)) {
+	p := w.Params
+	route := w.Catalog.Route("q")
+	pl := plan.New(w.Catalog, route, nil, "")
+	w.budget.First(len(pl.Parts()), p.ExtraLoad)
+	limits := fanout.Limits{
+		Deadline: p.Deadline, EarlyAfter: p.EarlyAfter, EarlyCoverage: p.EarlyCoverage,
+		MinCoverage: p.MinCoverage, HedgeAfter: w.hedgeAfter(),
+	}
+	r := &request{world: w, team: team, weight: weight, begun: w.Now(), arrived: make(map[int]bool), end: end}
+	r.machine = fanout.New(pl, limits, &w.budget, w.targets())
+	r.step(fanout.Start{})
+}
+
+func (w *World) hedgeAfter() func(ident.Service) time.Duration {
+	if w.Params.HedgeQuantile == 0 {
+		return nil
+	}
+	return func(ident.Service) time.Duration {
+		d, ok := w.latency.Quantile(w.Params.HedgeQuantile)
+		if !ok {
+			return w.Params.Deadline / 3
+		}
+		return d
+	}
+}
+
+func (w *World) targets() [][]fanout.Target {
+	out := make([][]fanout.Target, w.Params.Shards)
+	for i := range out {
+		for r := range w.Params.Replicas {
+			s := w.Servers[i*w.Params.Replicas+(r+i+w.serial)%w.Params.Replicas]
+			if !s.Out {
+				out[i] = append(out[i], fanout.Target{Server: s.Name, VM: ident.VM(strconv.Itoa(i*w.Params.Replicas + (r+i+w.serial)%w.Params.Replicas))})
+			}
+		}
+	}
+	w.serial++
+	return out
+}
+
+func (r *request) now() clock.Instant { return clock.At(r.world.Now()) }
+
+func (r *request) step(ev fanout.Event) {
+	if r.ended {
+		return
+	}
+	for _, act := range r.machine.Step(r.now(), ev) {
+		switch act := act.(type) {
+		case fanout.Send:
+			r.send(act.Attempt)
+		case fanout.Abort:
+			r.abort(act.Attempt)
+		case fanout.Wake:
+			r.world.After(act.At.Upper()-r.world.Now(), func() { r.step(fanout.Tick{}) })
+		case fanout.Finish:
+			r.finish(act)
+		}
+	}
+}
+
+func (r *request) server(a fanout.Attempt) *Server {
+	i, _ := strconv.Atoi(string(a.Target.VM))
+	return r.world.Servers[i]
+}
+
+func (r *request) id(a fanout.Attempt) slots.ID {
+	return slots.ID(fmt.Sprintf("%p.%d", r, a.ID))
+}
+
+func (r *request) send(a fanout.Attempt) {
+	if a.Second {
+		r.outcome.Second++
+	} else {
+		r.outcome.First++
+	}
+	w := r.world
+	sent := w.Now()
+	j := &job{id: r.id(a), deadline: r.begun + w.Params.Deadline}
+	j.reply = func(ok bool, outcome fault.Outcome, code fault.Code) {
+		w.After(w.Params.Hop, func() {
+			if !ok {
+				r.step(fanout.Failed{Attempt: a.ID, Outcome: outcome, Code: code})
+				return
+			}
+			w.latency.Record(w.Now() - sent)
+			r.arrived[a.Part] = true
+			r.step(fanout.Answered{Attempt: a.ID, Version: 1, Items: []merge.Item{{ID: "x"}}})
+		})
+	}
+	s := r.server(a)
+	w.After(w.Params.Hop, func() { s.offer(j, r.team, r.weight) })
+}
+
+func (r *request) abort(a fanout.Attempt) {
+	s := r.server(a)
+	id := r.id(a)
+	r.world.After(r.world.Params.Hop, func() { s.step(slots.Cancel{ID: id}) })
+}
+
+func (r *request) finish(act fanout.Finish) {
+	r.ended = true
+	r.outcome.Took = r.world.Now() - r.begun
+	r.outcome.Coverage = r.machine.Merger().Coverage().Fraction()
+	r.outcome.TrueCoverage = float64(len(r.arrived)) / float64(r.world.Params.Shards)
+	r.outcome.Failed = act.Fault != nil
+	r.end(r.outcome)
+}
--- /dev/null
+++ b/internal/lab/sched/doc.go
@@ -0,0 +1,2 @@
+// Package sched runs functions in the order of a virtual time.
+package sched
--- a/internal/stand/drive/drive.go
+++ b/internal/stand/drive/drive.go
@@ -1,7 +1,6 @@
 package drive
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -11,6 +10,7 @@
 	"kumquatreel.example/kumquatreel/internal/conf/catlog"
 	"kumquatreel.example/kumquatreel/internal/fleet/agent"
 	"kumquatreel.example/kumquatreel/internal/fleet/member"
+	"kumquatreel.example/kumquatreel/internal/lab/sched"
 	"kumquatreel.example/kumquatreel/internal/stand/sample"
 	"kumquatreel.example/kumquatreel/internal/wire/inner"
 )
@@ -47,13 +47,11 @@
 	// Measure, when set, returns the size of a message in bytes.
 	Measure func(any) int
 
-	now    time.Duration
 	rng    *rand.Rand
 	opts   agent.Options
 	nodes  map[ident.VM]*Node
 	order  []ident.VM
-	queue  events
-	serial int
+	queue  sched.Queue
 	starts int
 
 	configuration     string
@@ -94,7 +92,7 @@
 }
 
 // Now returns the virtual time.
-func (s *Sim) Now() time.Duration { return s.now }
+func (s *Sim) Now() time.Duration { return s.queue.Now() }
 
 // Rand returns the run's source of random numbers.
 func (s *Sim) Rand() *rand.Rand { return s.rng }
@@ -112,7 +110,7 @@
 }
 
 // PlatformDown makes the platform unreachable for everyone for a span.
-func (s *Sim) PlatformDown(d time.Duration) { s.platformDownUntil = s.now + d }
+func (s *Sim) PlatformDown(d time.Duration) { s.platformDownUntil = s.Now() + d }
 
 // PlatformStale makes the platform answer with the documents of now until it is called with false.
 func (s *Sim) PlatformStale(on bool) {
@@ -140,7 +138,7 @@
 // Start starts a VM's process, whose clock runs fast by drift.
 func (s *Sim) Start(vm ident.VM, domain ident.Domain, drift float64) *Node {
 	s.starts++
-	n := &Node{VM: vm, Domain: domain, sim: s, process: s.starts, born: s.now, drift: drift, asking: make(map[ident.VM]bool)}
+	n := &Node{VM: vm, Domain: domain, sim: s, process: s.starts, born: s.Now(), drift: drift, asking: make(map[ident.VM]bool)}
 	opts := s.opts
 	opts.VM, opts.Domain, opts.Incarnation = vm, domain, fmt.Sprintf("p%d", s.starts)
 	n.Agent = agent.New(n.Clock(), opts, rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64())))
@@ -162,10 +160,10 @@
 		return
 	}
 	n.asleep = true
-	n.slept = s.now
+	n.slept = s.Now()
 	s.After(d, func() {
 		n.asleep = false
-		n.paused += s.now - n.slept
+		n.paused += s.Now() - n.slept
 		held := n.held
 		n.held = nil
 		for _, f := range held {
@@ -198,21 +196,11 @@
 }
 
 // Run carries on until a time and calls after behind every event.
-func (s *Sim) Run(until time.Duration, after func()) {
-	for len(s.queue) > 0 && s.queue[0].at <= until {
-		e := heap.Pop(&s.queue).(event)
-		s.now = max(s.now, e.at)
-		e.do()
-		if after != nil {
-			after()
-		}
-	}
-	s.now = max(s.now, until)
-}
+func (s *Sim) Run(until time.Duration, after func()) { s.queue.Run(until, after) }
 
 // Clock returns the VM's reading of its clocks.
 func (n *Node) Clock() clock.Instant {
-	alive := float64(n.sim.now - n.born)
+	alive := float64(n.sim.Now() - n.born)
 	hi := alive * (1 + n.drift)
 	lo := (alive - float64(n.paused)) * (1 + n.drift)
 	return clock.Between(time.Duration(lo), time.Duration(hi))
@@ -352,7 +340,7 @@
 		return
 	}
 	s.Counts.Platform++
-	if s.now < s.platformDownUntil || s.Network.NoPlatform != nil && s.Network.NoPlatform(n.VM) {
+	if s.Now() < s.platformDownUntil || s.Network.NoPlatform != nil && s.Network.NoPlatform(n.VM) {
 		return
 	}
 	asked := n.Clock()
@@ -379,42 +367,5 @@
 	return out
 }
 
-type event struct {
-	at     time.Duration
-	serial int
-	do     func()
-}
-
 // After does something once a span of virtual time has passed.
-func (s *Sim) After(d time.Duration, do func()) {
-	s.serial++
-	heap.Push(&s.queue, event{at: s.now + d, serial: s.serial, do: do})
-}
-
-// events is a heap by time and then by order of making.
-type events []event
-
-// Len returns the number of events.
-func (e events) Len() int { return len(e) }
-
-// Less reports whether event i comes before event j.
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].serial < e[j].serial
-}
-
-// Swap exchanges two events.
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push adds an event.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop removes the last event.
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
+func (s *Sim) After(d time.Duration, do func()) { s.queue.After(d, do) }
