agent, picker, fanout: hedge the last few, prefer the quicker replica, index the view

Cause, tail: hedges were spent on parts that were late because of load, so real stragglers found the budget empty (trace: 49 second attempts in one request, none in the next). Cause, domains: replicas were asked in turn, so a cold one got half the work. Cause, control: every question walked all peers. Change: hedges begin when at most the allowed share of a request's parts is open, a late part may have two; a picker draws the replica by expected time; rankings are worked out once a view; a home gives parts up a few at a time and is ready only with every part.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -56,6 +56,10 @@
 	answers  group.Set[ident.VM]
 	known    bool
 	closing  bool
+
+	held         []*catlog.Server
+	heldDigest   uint64
+	heldRevision int64
 }
 
 // sighting is the word that a backend server was warm at an instant.
--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -286,6 +286,20 @@
 	return nil
 }
 
+// TestLeaverReturnsOnlyWhatItDoesNotUse lets VMs leave while they work under borrowed slots and lend their own.
+func TestLeaverReturnsOnlyWhatItDoesNotUse(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(seed, 5)
+			w.sim.Network.Most = 23 * time.Millisecond
+			w.sim.Run(4301*time.Millisecond, w.judge)
+			w.sim.Leave(w.sim.Node("vm1"))
+			w.sim.Run(6*time.Second, w.judge)
+			assertHolds(t, w)
+		})
+	}
+}
+
 // TestSilentTowardsOne cuts two VMs from each other while both speak to all others, and takes one off the list.
 func TestSilentTowardsOne(t *testing.T) {
 	w := newWorld(7, 5)
--- a/internal/fleet/agent/loans.go
+++ b/internal/fleet/agent/loans.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
-	"kumquatreel.example/kumquatreel/internal/base/group"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/catlog"
 	"kumquatreel.example/kumquatreel/internal/fleet/member"
@@ -15,8 +14,12 @@
 	"kumquatreel.example/kumquatreel/internal/wire/inner"
 )
 
-// homesAsked is how many VMs a request's token is looked for at.
-const homesAsked = 3
+const (
+	// homesAsked is how many VMs a request's token is looked for at.
+	homesAsked = 3
+	// homesLooked is how many VMs are looked at for a home, of which some may be out of reach.
+	homesLooked = 8
+)
 
 // Home returns the VM that spends a team's rate, empty when none can.
 func (a *Agent) Home(now clock.Instant, team ident.Team) ident.VM {
@@ -30,19 +33,15 @@
 // Homes returns the VMs that may spend a team's rate, its home first and then those that may have been its home just before.
 func (a *Agent) Homes(now clock.Instant, team ident.Team) []ident.VM {
 	var able, others []ident.VM
-	seen := group.SetOf[ident.VM]()
-	for _, p := range a.member.Members() {
-		vm := member.VMOf(p)
+	for _, vm := range a.member.Ranked("home:"+string(team), homesLooked) {
 		switch {
-		case !seen.Add(vm):
 		case a.can(now, vm):
 			able = append(able, vm)
 		case a.member.Answering(now, vm) && a.member.HoldsClaims(now, vm):
 			others = append(others, vm)
 		}
 	}
-	resource := "home:" + string(team)
-	homes := append(ident.Rank(resource, able), ident.Rank(resource, others)...)
+	homes := slices.Concat(able, others)
 	return homes[:min(homesAsked, len(homes))]
 }
 
@@ -51,7 +50,7 @@
 	return a.member.Reachable(now, vm) && a.member.HoldsClaims(now, vm)
 }
 
-// ReadyHome reports whether this VM is a team's home and has gathered most parts of its rate.
+// ReadyHome reports whether this VM is a team's home and has gathered every part of its rate that can be had.
 func (a *Agent) ReadyHome(now clock.Instant, team ident.Team) bool {
 	pool := a.pools[team]
 	if pool == nil || a.Home(now, team) != a.opts.VM {
@@ -59,11 +58,11 @@
 	}
 	holders := 0
 	for _, p := range a.member.Members() {
-		if a.member.HoldsClaims(now, member.VMOf(p)) {
+		if vm := member.VMOf(p); a.member.HoldsClaims(now, vm) && a.member.Answering(now, vm) {
 			holders++
 		}
 	}
-	return 2*(pool.Parts(now)+1) > holders
+	return pool.Parts(now)+1 >= holders
 }
 
 // Take spends tokens of a team's rate that this VM holds or has borrowed and reports whether they were there.
@@ -100,11 +99,17 @@
 		return 0, 0
 	}
 	borrowed := a.borrower.Has(now, k)
+	own := a.ownSlots(now, server)
+	return own.Units + borrowed.Units, own.Cold + borrowed.Cold
+}
+
+// ownSlots returns the slots of a backend server that this VM holds and has neither lent nor promised.
+func (a *Agent) ownSlots(now clock.Instant, server *catlog.Server) lend.SlotLoan {
+	k := lend.Slots(server.Name())
 	if a.lender.Out(now, k) || a.isPromised(now, k) {
-		return borrowed.Units, borrowed.Cold
+		return lend.SlotLoan{}
 	}
-	own := a.entitled(now, server)
-	return own.Units + borrowed.Units, own.Cold + borrowed.Cold
+	return a.entitled(now, server)
 }
 
 // entitled returns the slots of a backend server that this VM holds itself.
@@ -215,6 +220,19 @@
 	return holders
 }
 
+// heldServers returns the backend servers of which this VM holds slots in the current view.
+func (a *Agent) heldServers(c *catlog.Catalog) []*catlog.Server {
+	if digest := a.member.Digest(); a.heldDigest != digest || a.heldRevision != c.Revision() {
+		a.heldDigest, a.heldRevision, a.held = digest, c.Revision(), nil
+		for _, s := range c.Servers() {
+			if s.Service() != nil && slices.Contains(a.holders(s), a.opts.VM) {
+				a.held = append(a.held, s)
+			}
+		}
+	}
+	return a.held
+}
+
 // holders returns the VMs that hold slots of a backend server in the current view.
 func (a *Agent) holders(server *catlog.Server) []ident.VM {
 	return slices.Compact(a.member.Ranked(lend.Slots(server.Name()).Resource(), min(2, server.Service().Slots())))
@@ -302,7 +320,9 @@
 		if len(pool.Lenders()) == 0 || a.Home(now, team) == a.opts.VM {
 			continue
 		}
-		for _, vm := range pool.Lenders() {
+		// A few at a time, so that old and new home together can spend the whole rate meanwhile.
+		lenders := pool.Lenders()
+		for _, vm := range lenders[:(len(lenders)+3)/4] {
 			if serial, level, ok := pool.GiveUp(now, vm); ok {
 				returns[vm] = append(returns[vm], inner.GiveBack{Key: lend.Rate(team), Serial: serial, Level: level})
 			}
@@ -310,7 +330,7 @@
 	}
 	for _, k := range a.borrower.Keys() {
 		server := a.server(ident.Server(k.Name))
-		if server == nil || a.gatherer(now, server) == a.opts.VM || a.busy[server.Name()] > a.entitled(now, server).Units {
+		if server == nil || a.gatherer(now, server) == a.opts.VM || a.busy[server.Name()] > a.ownSlots(now, server).Units {
 			continue
 		}
 		if vm, serial, ok := a.borrower.GiveUp(now, k); ok {
@@ -327,8 +347,8 @@
 
 func (a *Agent) slotAsks(now clock.Instant, c *catlog.Catalog) map[ident.VM][]inner.LoanAsk {
 	asks := make(map[ident.VM][]inner.LoanAsk)
-	for _, s := range c.Servers() {
-		if s.Service() == nil || a.gatherer(now, s) != a.opts.VM {
+	for _, s := range a.heldServers(c) {
+		if a.gatherer(now, s) != a.opts.VM {
 			continue
 		}
 		k := lend.Slots(s.Name())
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -17,6 +17,7 @@
 const (
 	partnersByTick = 3
 	goneFactor     = 4
+	maxRanked      = 8
 )
 
 // Machine holds one process's view of the fleet; it is driven by one goroutine at a time.
@@ -35,10 +36,15 @@
 	peers     map[ident.Process]*peer
 	missed    map[ident.VM]bool
 
+	latest   map[ident.VM]*peer
+	rankings map[string]*ranking
 	views    []view
 	ring     []ident.VM
 	leaving  bool
 	released bool
+	// sure is set when a majority had answered at sureAt within half the hold time.
+	sure   bool
+	sureAt clock.Instant
 }
 
 type view struct {
@@ -51,6 +57,12 @@
 	confirmed bool
 }
 
+// ranking is where processes stand for one resource: the first VMs of the current view, and the worst rank of this process in any open view.
+type ranking struct {
+	top   []ident.VM
+	worst int
+}
+
 type peer struct {
 	vm       ident.VM
 	digest   uint64
@@ -70,6 +82,8 @@
 		votes:     make(map[ident.Process]group.Set[ident.Process]),
 		peers:     make(map[ident.Process]*peer),
 		missed:    make(map[ident.VM]bool),
+		latest:    make(map[ident.VM]*peer),
+		rankings:  make(map[string]*ranking),
 	}
 	m.restart(now, group.SetOf[ident.Process]())
 	return m
@@ -122,10 +136,8 @@
 
 // DigestOf returns the digest that a VM reported last, zero when it never did.
 func (m *Machine) DigestOf(vm ident.VM) uint64 {
-	for _, p := range m.peers {
-		if p.vm == vm {
-			return p.digest
-		}
+	if p := m.latest[vm]; p != nil {
+		return p.digest
 	}
 	return 0
 }
@@ -150,16 +162,12 @@
 	return !m.released && m.views[0].confirmed && m.majority(now)
 }
 
-// Entitled returns how much of a resource this process may use: the least that its rank gets in any view since the last confirmed one.
+// Entitled returns how much of a resource this process may use: the least that its rank gets in any view since the last confirmed one; amount must not grow with the rank.
 func (m *Machine) Entitled(now clock.Instant, resource string, amount func(rank int) int) int {
 	if !m.Holds(now) {
 		return 0
 	}
-	least := amount(rankOf(m.self, resource, m.views[0].members))
-	for _, v := range m.views[1:] {
-		least = min(least, amount(rankOf(m.self, resource, v.members)))
-	}
-	return least
+	return amount(m.ranking(resource).worst)
 }
 
 // Share returns this process's part of a divisible resource as a fraction, zero without claims.
@@ -174,27 +182,39 @@
 	return 1 / float64(largest)
 }
 
-// Ranked returns the VMs that rank first for a resource in the current view, best first and at most n.
+// Ranked returns the VMs that rank first for a resource in the current view, best first and at most n, which must not be above 8.
 func (m *Machine) Ranked(resource string, n int) []ident.VM {
+	top := m.ranking(resource).top
+	return slices.Clone(top[:min(n, len(top))])
+}
+
+// ranking returns where processes stand for a resource; it is worked out once for each change of the views.
+func (m *Machine) ranking(resource string) *ranking {
+	if r := m.rankings[resource]; r != nil {
+		return r
+	}
+	r := &ranking{}
+	for i := range m.views {
+		r.worst = max(r.worst, rankOf(m.self, resource, m.views[i].members))
+	}
 	ranked := rank(resource, m.members)
-	out := make([]ident.VM, 0, n)
-	for _, p := range ranked[:min(n, len(ranked))] {
-		out = append(out, VMOf(p))
+	for _, p := range ranked[:min(maxRanked, len(ranked))] {
+		r.top = append(r.top, VMOf(p))
 	}
-	return out
+	m.rankings[resource] = r
+	return r
 }
 
+// Digest returns the digest of the current view.
+func (m *Machine) Digest() uint64 { return m.current().digest }
+
 // HoldsClaims reports whether a VM has said that it may use claims.
 func (m *Machine) HoldsClaims(now clock.Instant, vm ident.VM) bool {
 	if vm == m.vm {
 		return m.Holds(now)
 	}
-	for _, p := range m.peers {
-		if p.vm == vm && p.holds {
-			return true
-		}
-	}
-	return false
+	p := m.latest[vm]
+	return p != nil && p.holds
 }
 
 // Reachable reports whether a VM has answered lately and is not leaving.
@@ -202,12 +222,7 @@
 	if vm == m.vm {
 		return !m.leaving
 	}
-	for _, p := range m.peers {
-		if p.vm == vm && p.everAsk && !p.leaving && now.MaxSince(p.answered) < m.times.Suspect {
-			return !m.missed[vm]
-		}
-	}
-	return false
+	return m.Answering(now, vm) && !m.latest[vm].leaving
 }
 
 // Answering reports whether a VM has answered lately, leaving or not.
@@ -215,22 +230,8 @@
 	if vm == m.vm {
 		return true
 	}
-	for _, p := range m.peers {
-		if p.vm == vm && p.everAsk && now.MaxSince(p.answered) < m.times.Suspect {
-			return !m.missed[vm]
-		}
-	}
-	return false
-}
-
-// LeavingVM reports whether a VM has said that it shuts down.
-func (m *Machine) LeavingVM(vm ident.VM) bool {
-	for _, p := range m.peers {
-		if p.vm == vm && p.leaving {
-			return true
-		}
-	}
-	return false
+	p := m.latest[vm]
+	return p != nil && p.everAsk && now.MaxSince(p.answered) < m.times.Suspect && !m.missed[vm]
 }
 
 // Contact reports whether a majority of the last confirmed view has answered at instants that within takes.
@@ -256,7 +257,17 @@
 	return q != nil && q.everAsk && within(q.answered)
 }
 
+// majority reports whether a majority of the last confirmed view has answered within the hold time.
 func (m *Machine) majority(now clock.Instant) bool {
+	if m.sure && now.MaxSince(m.sureAt) < m.times.Hold/2 {
+		return true
+	}
+	m.sure = m.Contact(func(t clock.Instant) bool { return now.MaxSince(t) < m.times.Hold/2 })
+	if m.sure {
+		// Each of them has answered at most half the hold time ago, so half of it is left.
+		m.sureAt = now
+		return true
+	}
 	return m.Contact(func(t clock.Instant) bool { return now.MaxSince(t) < m.times.Hold })
 }
 
@@ -287,6 +298,7 @@
 	}
 	m.members.Add(m.self)
 	m.views = nil
+	m.sure = false
 	m.adopt(now)
 }
 
@@ -298,6 +310,7 @@
 		m.views = m.views[:0]
 	}
 	m.views = append(m.views, v)
+	clear(m.rankings)
 }
 
 // learn takes over what a report says about others and about its sender.
@@ -351,6 +364,9 @@
 
 func (m *Machine) remove(now clock.Instant, p ident.Process) []Action {
 	m.gone[p] = now
+	if q := m.peers[p]; q != nil && m.latest[q.vm] == q {
+		delete(m.latest, q.vm)
+	}
 	delete(m.peers, p)
 	delete(m.votes, p)
 	delete(m.condemned, p)
@@ -367,6 +383,7 @@
 	if p == nil || m.condemned.Has(r.Process) {
 		return
 	}
+	m.latest[p.vm] = p
 	p.heard = now
 	p.digest = r.Digest
 	p.leaving = r.Leaving
@@ -408,15 +425,12 @@
 		return nil
 	}
 	var out []Action
-	for _, p := range group.Sorted(m.members) {
-		if p == m.self || !m.candidate(p) {
+	for _, p := range m.silent(now) {
+		if !m.candidate(p) {
 			continue
 		}
-		q := m.peers[p]
-		if now.MinSince(q.heard) > m.times.Reclaim {
-			m.condemned.Add(p)
-		}
-		if m.condemned.Has(p) && m.outvoted(p) {
+		m.condemned.Add(p)
+		if m.outvoted(p) {
 			out = append(out, m.remove(now, p)...)
 		}
 	}
@@ -426,6 +440,18 @@
 	return out
 }
 
+// silent returns the other processes that have not been heard for the reclaim time, in order.
+func (m *Machine) silent(now clock.Instant) []ident.Process {
+	var out []ident.Process
+	for p := range m.members {
+		if p != m.self && now.MinSince(m.peers[p].heard) > m.times.Reclaim {
+			out = append(out, p)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // candidate reports whether a process may be condemned: its VM is off the list, or runs a newer process.
 func (m *Machine) candidate(p ident.Process) bool {
 	vm := VMOf(p)
@@ -478,6 +504,8 @@
 	}
 	v.confirmed = true
 	m.views = []view{*v}
+	m.sure = false
+	clear(m.rankings)
 	return []Action{Confirmed{Size: len(v.members)}}
 }
 
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -137,7 +137,11 @@
 		j.reply(true, fault.OutcomeRan, 0)
 		return
 	}
-	j.reply(false, fault.OutcomeUnknown, fault.CodeUnavailable)
+	code := fault.CodeUnavailable
+	if j.aborted {
+		code = fault.CodeCancelled
+	}
+	j.reply(false, fault.OutcomeUnknown, code)
 }
 
 func text(v any) string {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -26,6 +26,7 @@
 	"kumquatreel.example/kumquatreel/internal/node/owner"
 	"kumquatreel.example/kumquatreel/internal/node/trace"
 	"kumquatreel.example/kumquatreel/internal/query/hedge"
+	"kumquatreel.example/kumquatreel/internal/query/picker"
 	"kumquatreel.example/kumquatreel/internal/query/ticket"
 	"kumquatreel.example/kumquatreel/internal/wire/caller"
 	"kumquatreel.example/kumquatreel/internal/wire/netio"
@@ -57,6 +58,10 @@
 	active   atomic.Int64
 	prefix   string
 
+	pickMu  sync.Mutex
+	picker  picker.Picker
+	pickRng *rand.Rand
+
 	latencyMu sync.Mutex
 	latency   map[ident.Service]*hedge.Latency
 
@@ -73,6 +78,7 @@
 		log: logger.WithPrefix("entry"), prefix: string(settings.Name()) + "-" + incarnation + "-",
 		latency: make(map[ident.Service]*hedge.Latency),
 		book:    ticket.NewBook(process), rng: rng,
+		pickRng: rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())),
 	}
 }
 
--- a/internal/node/entry/fanout.go
+++ b/internal/node/entry/fanout.go
@@ -92,6 +92,7 @@
 type sentAttempt struct {
 	attempt fanout.Attempt
 	at      clock.Instant
+	aborted bool
 }
 
 // arrival is the end of an attempt, with the owner's reply if there was one.
@@ -113,7 +114,7 @@
 	limits := fanout.Limits{
 		Deadline: max(0, q.deadline()-begun.MaxSince(q.arrived)), Grace: confirmGrace,
 		EarlyAfter: q.route.EarlyAfter(), EarlyCoverage: q.route.EarlyCoverage(),
-		MinCoverage: q.route.MinCoverage(), HedgeAfter: e.hedgeAfter(q),
+		MinCoverage: q.route.MinCoverage(), HedgeAfter: e.hedgeAfter(q), HedgeShare: q.catalog.Preset().ExtraLoad(),
 	}
 	streamCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limits.Deadline+streamGrace)
 	f := &flight{
@@ -145,34 +146,52 @@
 	}, nil, f.ended.SnapshotGone
 }
 
-// targets orders the ways to reach each part: every replica's owner before any replica's second holder.
+// targets orders the ways to reach each part: every replica's gatherer, in the picker's order, before any other holder.
 func (e *Entry) targets(p plan.Plan) [][]fanout.Target {
+	order := e.order(p)
 	out := make([][]fanout.Target, len(p.Parts()))
-	spread := e.serial.Load()
 	e.mesh.With(func(now clock.Instant, a *agent.Agent) {
-		for i, part := range p.Parts() {
-			var owners, others []fanout.Target
-			replicas := part.Replicas()
-			for j := range replicas {
-				s := replicas[(j+i+int(spread))%len(replicas)]
-				if !a.Catalog().Usable(a.Catalog().Server(s.Name())) {
-					continue
-				}
-				for k, vm := range a.Targets(now, s) {
-					t := fanout.Target{Server: s.Name(), VM: vm}
-					if k == 0 {
-						owners = append(owners, t)
-					} else {
-						others = append(others, t)
-					}
-				}
-			}
-			out[i] = append(owners, others...)
+		for i, replicas := range order {
+			out[i] = targetsOf(now, a, replicas)
 		}
 	})
 	return out
 }
 
+func targetsOf(now clock.Instant, a *agent.Agent, replicas []ident.Server) []fanout.Target {
+	var first, others []fanout.Target
+	for _, name := range replicas {
+		s := a.Catalog().Server(name)
+		if !a.Catalog().Usable(s) {
+			continue
+		}
+		for k, vm := range a.Targets(now, s) {
+			t := fanout.Target{Server: name, VM: vm}
+			if k == 0 {
+				first = append(first, t)
+			} else {
+				others = append(others, t)
+			}
+		}
+	}
+	return append(first, others...)
+}
+
+// order lets the picker order the replicas of each part.
+func (e *Entry) order(p plan.Plan) [][]ident.Server {
+	out := make([][]ident.Server, len(p.Parts()))
+	now := e.clock.Now()
+	e.pickMu.Lock()
+	defer e.pickMu.Unlock()
+	for i, part := range p.Parts() {
+		for _, s := range part.Replicas() {
+			out[i] = append(out[i], s.Name())
+		}
+		e.picker.Order(now, out[i], part.Service().Slots(), e.pickRng)
+	}
+	return out
+}
+
 // hedgeAfter returns after what time a part of a service counts as late.
 func (e *Entry) hedgeAfter(q *request) func(ident.Service) time.Duration {
 	quantile := q.catalog.Preset().HedgeQuantile()
@@ -199,6 +218,27 @@
 	return l
 }
 
+func (e *Entry) sentTo(s ident.Server) {
+	e.pickMu.Lock()
+	defer e.pickMu.Unlock()
+	e.picker.Sent(e.clock.Now(), s)
+}
+
+// learn tells the picker how an attempt ended.
+func (e *Entry) learn(s ident.Server, r inner.PartReply, took time.Duration) {
+	e.pickMu.Lock()
+	defer e.pickMu.Unlock()
+	now := e.clock.Now()
+	switch {
+	case r.OK:
+		e.picker.Answered(now, s, took)
+	case r.Code == fault.CodeCancelled || r.Code == fault.CodeNotOwner || r.Code == fault.CodeLeaving:
+		e.picker.Dropped(now, s)
+	default:
+		e.picker.Failed(now, s)
+	}
+}
+
 // loop drives the machine until the request has ended; a caller that went away ends a request that may run again.
 func (f *flight) loop(ctx context.Context) {
 	gone := ctx.Done()
@@ -232,11 +272,12 @@
 		switch act := act.(type) {
 		case fanout.Send:
 			f.note("send", act.Attempt, "")
-			f.sent = append(f.sent, sentAttempt{act.Attempt, f.entry.clock.Now()})
+			f.sent = append(f.sent, sentAttempt{attempt: act.Attempt, at: f.entry.clock.Now()})
 			f.count(act.Attempt)
 			sends[act.Attempt.Target.VM] = append(sends[act.Attempt.Target.VM], act.Attempt)
 		case fanout.Abort:
 			f.note("cancel", act.Attempt, "")
+			f.drop(act.Attempt)
 			aborts[act.Attempt.Target.VM] = append(aborts[act.Attempt.Target.VM], f.partID(act.Attempt))
 		case fanout.Wake:
 			f.wake = act.At
@@ -257,6 +298,9 @@
 	sent := f.sent[a.attempt]
 	took := f.entry.clock.Now().MaxSince(sent.at)
 	f.maxQueue = max(f.maxQueue, a.reply.QueueMicros)
+	if !sent.aborted {
+		f.entry.learn(sent.attempt.Target.Server, a.reply, took)
+	}
 	if !a.reply.OK {
 		f.note("failed", sent.attempt, a.reply.Outcome.String()+" "+a.reply.Code.String())
 		return
@@ -267,7 +311,16 @@
 	f.entry.latencyOf(service).Record(took)
 }
 
+// drop tells the picker that an attempt was taken back; its reply teaches nothing any more.
+func (f *flight) drop(a fanout.Attempt) {
+	if !f.sent[a.ID].aborted {
+		f.sent[a.ID].aborted = true
+		f.entry.learn(a.Target.Server, inner.PartReply{Code: fault.CodeCancelled}, 0)
+	}
+}
+
 func (f *flight) count(a fanout.Attempt) {
+	f.entry.sentTo(a.Target.Server)
 	if a.Second {
 		f.second++
 	} else {
--- a/internal/query/fanout/event.go
+++ b/internal/query/fanout/event.go
@@ -92,4 +92,6 @@
 	EarlyCoverage float64
 	MinCoverage   float64
 	HedgeAfter    func(ident.Service) time.Duration
+	// HedgeShare is the share of a request's parts that may have second attempts because they are late.
+	HedgeShare float64
 }
--- a/internal/query/fanout/fanout.go
+++ b/internal/query/fanout/fanout.go
@@ -1,6 +1,8 @@
 package fanout
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
@@ -15,6 +17,14 @@
 	// triesByRound bounds the attempts at one part before a pause.
 	triesByRound = 4
 	maxRounds    = 4
+	// maxHedges bounds the attempts that go out because a part is late.
+	maxHedges = 2
+	// veryFewShare is the part of the allowed second attempts that goes to parts as soon as they are late.
+	veryFewShare = 0.5
+	// veryFactor is how much later than late a part is very late.
+	veryFactor = 1.3
+	// againFactor is the part of the usual wait before the second hedge of a part.
+	againFactor = 0.6
 	// roundPause is how long a part waits when nobody could take it, for slots that change hands.
 	roundPause = 25 * time.Millisecond
 )
@@ -40,8 +50,9 @@
 	targets []Target
 	next    int
 	flying  int
-	hedgeAt clock.Instant
-	hedged  bool
+	lateAt  clock.Instant
+	veryAt  clock.Instant
+	hedges  int
 	closed  bool
 	rounds  int
 	waiting bool
@@ -85,6 +96,7 @@
 	if m.finished {
 		return out
 	}
+	out = append(out, m.hedgeLate(now)...)
 	return append(out, m.conclude(now)...)
 }
 
@@ -114,7 +126,11 @@
 	p.next++
 	p.flying++
 	if after := m.hedgeAfter(index); after > 0 {
-		p.hedgeAt = now.Add(after)
+		if p.hedges > 0 {
+			after = time.Duration(againFactor * float64(after))
+		}
+		p.lateAt = now.Add(after)
+		p.veryAt = now.Add(time.Duration(veryFactor * float64(after)))
 	}
 	m.attempts = append(m.attempts, attempt{Attempt: a})
 	return []Action{Send{Attempt: a}}
@@ -264,34 +280,57 @@
 			p.waiting = false
 			out = append(out, m.send(now, i, false)...)
 		}
-		if m.hedgeDue(now, i) {
+	}
+	return out
+}
+
+// hedgeLate sends further attempts at late parts once only the last few of a request are open: while many
+// are, it is the load that is late and not a straggler.
+func (m *Machine) hedgeLate(now clock.Instant) []Action {
+	if m.open > m.few(1) || now.MaxSince(m.begun) >= m.limits.Deadline {
+		return nil
+	}
+	var out []Action
+	for i := range m.parts {
+		if at, ok := m.hedgeAt(i); ok && now.Passed(at) {
 			out = append(out, m.hedge(now, i)...)
 		}
 	}
 	return out
 }
 
-func (m *Machine) hedgeDue(now clock.Instant, index int) bool {
+// few returns how many parts a share of the allowed second attempts can serve, at least one.
+func (m *Machine) few(share float64) int {
+	return max(1, int(math.Ceil(share*m.limits.HedgeShare*float64(len(m.parts)))))
+}
+
+// hedgeAt returns when an open part is due for a further attempt: when it is late if very few are open, and when it is very late if few are.
+func (m *Machine) hedgeAt(index int) (clock.Instant, bool) {
 	p := &m.parts[index]
-	return !p.closed && !p.hedged && p.flying == 1 && p.hedgeAt.Upper() > 0 && now.Passed(p.hedgeAt)
+	if p.closed || p.hedges >= maxHedges || p.flying != p.hedges+1 || p.lateAt.Upper() == 0 {
+		return clock.Instant{}, false
+	}
+	if m.open <= m.few(veryFewShare) {
+		return p.lateAt, true
+	}
+	return p.veryAt, m.open <= m.few(1)
 }
 
-// hedge sends a second attempt to another backend server if the budget has one.
+// hedge sends a further attempt if the budget has one: to another backend server first, to the same again when there is none.
 func (m *Machine) hedge(now clock.Instant, index int) []Action {
 	p := &m.parts[index]
-	p.hedged = true
-	tried := p.targets[p.next-1].Server
-	for i := p.next; i < len(p.targets); i++ {
-		if p.targets[i].Server == tried {
-			continue
-		}
-		if !m.budget.Take() {
-			return nil
-		}
-		p.targets[p.next], p.targets[i] = p.targets[i], p.targets[p.next]
-		return m.send(now, index, true)
+	p.hedges++
+	tried := p.targets[p.next-1]
+	next := slices.IndexFunc(p.targets[p.next:], func(t Target) bool { return t.Server != tried.Server })
+	if p.next >= triesByRound || !m.budget.Take() {
+		return nil
 	}
-	return nil
+	if next < 0 {
+		p.targets = append(slices.Clip(p.targets[:p.next:p.next]), p.targets[:p.next]...)
+		next = max(0, slices.IndexFunc(p.targets[p.next:], func(t Target) bool { return t.Server != tried.Server }))
+	}
+	p.targets[p.next], p.targets[p.next+next] = p.targets[p.next+next], p.targets[p.next]
+	return m.send(now, index, true)
 }
 
 // conclude ends the request when nothing more is worth waiting for, and says when to look again otherwise.
@@ -372,16 +411,20 @@
 
 func (m *Machine) nextWake(now clock.Instant) clock.Instant {
 	at := m.begun.Add(m.limits.Deadline)
-	if e := m.begun.Add(m.limits.EarlyAfter); m.limits.EarlyAfter > 0 && e.Upper() > now.Upper() && e.Upper() < at.Upper() {
-		at = e
+	earlier := func(t clock.Instant) {
+		if t.Upper() < at.Upper() {
+			at = t
+		}
+	}
+	if e := m.begun.Add(m.limits.EarlyAfter); m.limits.EarlyAfter > 0 && !now.Passed(e) {
+		earlier(e)
 	}
 	for i := range m.parts {
-		p := &m.parts[i]
-		if p.waiting && p.retryAt.Upper() < at.Upper() {
-			at = p.retryAt
+		if p := &m.parts[i]; p.waiting {
+			earlier(p.retryAt)
 		}
-		if !p.closed && !p.hedged && p.flying == 1 && p.hedgeAt.Upper() > 0 && p.hedgeAt.Upper() < at.Upper() {
-			at = p.hedgeAt
+		if t, ok := m.hedgeAt(i); ok {
+			earlier(t)
 		}
 	}
 	return at
