--- a/cmd/kumquatreel/demo.go
+++ b/cmd/kumquatreel/demo.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/catlog"
 	"kumquatreel.example/kumquatreel/internal/node/daemon"
@@ -22,8 +23,8 @@
 	demoLimit  = 14 * time.Second
 	demoTeam   = ident.Team("team0")
 	demoDomain = ident.Domain("west")
-	// demoSettle is how long the demo waits after a change, which is longer than the change needs.
-	demoSettle = 500 * time.Millisecond
+	// demoSettle is how long the first loans take.
+	demoSettle = time.Second
 )
 
 type demoCommand struct {
@@ -62,16 +63,8 @@
 		return err
 	}
 	fmt.Println("the VMs have settled on one view of the fleet")
-	return pauseDemo(ctx, 2*demoSettle)
-}
-
-func pauseDemo(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return errors.Errorf("pause: %w", ctx.Err())
-	case <-time.After(d):
-		return nil
-	}
+	clock.Sleep(ctx, demoSettle)
+	return nil
 }
 
 func (d *demo) directory(ctx context.Context) error {
--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -61,3 +62,18 @@
 	s.now.hi += max(0, mono, wall)
 	return s.now
 }
+
+// Sleep waits for a span and reports whether it passed before ctx ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/base/cmdln/doc.go
@@ -0,0 +1,2 @@
+// Package cmdln runs the commands of a program and turns errors into exit codes.
+package cmdln
--- /dev/null
+++ b/internal/fleet/member/view.go
@@ -0,0 +1,133 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/group"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+)
+
+// ranking returns where processes stand for a resource; it is worked out once for each change of the views.
+func (m *Machine) ranking(resource string) *ranking {
+	if r := m.rankings[resource]; r != nil {
+		return r
+	}
+	r := &ranking{}
+	for i := range m.views {
+		r.worst = max(r.worst, rankOf(m.self, resource, m.views[i].members))
+	}
+	ranked := rank(resource, m.members)
+	for _, p := range ranked[:min(maxRanked, len(ranked))] {
+		r.top = append(r.top, VMOf(p))
+	}
+	m.rankings[resource] = r
+	return r
+}
+
+func (m *Machine) current() *view { return &m.views[len(m.views)-1] }
+
+func (m *Machine) adopt(now clock.Instant) {
+	v := view{members: m.members.Clone(), digest: digest(m.members), adopted: now, acked: group.SetOf[ident.Process]()}
+	if len(m.views) > 0 && !m.views[0].confirmed {
+		m.views = m.views[:0]
+	}
+	m.views = append(m.views, v)
+	clear(m.rankings)
+}
+
+// confirm closes the current view once every process has taken it on and former holders are done.
+func (m *Machine) confirm(now clock.Instant) []Action {
+	v := m.current()
+	if v.confirmed || m.released || m.list == nil || !m.complete(v) {
+		return nil
+	}
+	if !v.complete {
+		v.complete = true
+		v.since = now
+	}
+	if m.grew(v) && now.MinSince(v.since) < m.times.Drain {
+		return nil
+	}
+	v.confirmed = true
+	m.views = []view{*v}
+	m.sure = false
+	clear(m.rankings)
+	return []Action{Confirmed{Size: len(v.members)}}
+}
+
+// grew reports whether someone may still use what the view gives to this process.
+func (m *Machine) grew(v *view) bool {
+	if len(v.members) == 1 {
+		return false
+	}
+	base := m.views[0]
+	if !base.confirmed {
+		return true
+	}
+	for p := range v.members {
+		if !base.members.Has(p) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) complete(v *view) bool {
+	vms := group.SetOf[ident.VM]()
+	for p := range v.members {
+		vms.Add(VMOf(p))
+		if p != m.self && !v.acked.Has(p) {
+			return false
+		}
+	}
+	for _, entry := range m.list.All() {
+		if entry.State() == catlog.VMLive && !vms.Has(entry.Name()) {
+			return false
+		}
+	}
+	return true
+}
+
+// rank orders processes for a resource, best first; of two on one VM the newer name comes first.
+func rank(resource string, members group.Set[ident.Process]) []ident.Process {
+	type scored struct {
+		process ident.Process
+		score   uint64
+	}
+	all := make([]scored, 0, len(members))
+	for p := range members {
+		all = append(all, scored{p, ident.Score(resource, string(VMOf(p)))})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.process, a.process))
+	})
+	out := make([]ident.Process, len(all))
+	for i, s := range all {
+		out[i] = s.process
+	}
+	return out
+}
+
+// rankOf counts the processes that come before one, without ordering the rest.
+func rankOf(self ident.Process, resource string, members group.Set[ident.Process]) int {
+	own := ident.Score(resource, string(VMOf(self)))
+	n := 0
+	for p := range members {
+		score := ident.Score(resource, string(VMOf(p)))
+		if score > own || score == own && p > self {
+			n++
+		}
+	}
+	return n
+}
+
+func digest(members group.Set[ident.Process]) uint64 {
+	var sum uint64
+	for p := range members {
+		sum += ident.Score("view", string(p))
+	}
+	return sum
+}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/fault"
 	"kumquatreel.example/kumquatreel/internal/wire/caller"
 	"kumquatreel.example/kumquatreel/internal/wire/client"
@@ -118,7 +119,7 @@
 	begun := time.Now()
 	var wait sync.WaitGroup
 	for i := range n {
-		if !sleepUntil(ctx, begun.Add(time.Duration(i)*gap)) {
+		if !clock.Sleep(ctx, time.Until(begun.Add(time.Duration(i)*gap))) {
 			break
 		}
 		wait.Go(func() {
@@ -129,18 +130,3 @@
 	}
 	wait.Wait()
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -124,13 +124,13 @@
 	defer d.Kill()
 	d.mesh.Leave()
 	d.log.Info("leaving")
-	if !sleep(ctx, d.settings.Linger()) {
+	if !clock.Sleep(ctx, d.settings.Linger()) {
 		return errors.Errorf("shutdown: %w", ctx.Err())
 	}
 	d.owner.Drain()
 	d.mesh.With(func(_ clock.Instant, a *agent.Agent) { a.StopLending() })
 	for d.entry.Active() > 0 || d.owner.Busy() > 0 || d.lent() > 0 {
-		if !sleep(ctx, idlePeriod) {
+		if !clock.Sleep(ctx, idlePeriod) {
 			return errors.Errorf("shutdown with work in progress: %w", ctx.Err())
 		}
 	}
@@ -164,19 +164,8 @@
 
 // loadLoop tells the agent how busy the VM is.
 func (d *Daemon) loadLoop(ctx context.Context) {
-	for sleep(ctx, loadPeriod) {
+	for clock.Sleep(ctx, loadPeriod) {
 		load := float64(d.entry.Active()) / fullLoad
 		d.mesh.With(func(_ clock.Instant, a *agent.Agent) { a.SetLoad(load) })
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/mesh/watch.go
+++ b/internal/node/mesh/watch.go
@@ -41,12 +41,12 @@
 			}
 		})
 		if !watches {
-			pause(ctx, m.settings.Tick())
+			clock.Sleep(ctx, m.settings.Tick())
 			continue
 		}
 		if err := m.read(ctx, key, after); err != nil {
 			m.log.Debug("platform not read", "key", key, "reason", err)
-			pause(ctx, retryWait)
+			clock.Sleep(ctx, retryWait)
 		}
 	}
 }
@@ -75,7 +75,7 @@
 	}
 	m.readOK(key, asked)
 	if v.Revision <= after {
-		pause(ctx, retryWait)
+		clock.Sleep(ctx, retryWait)
 	}
 	return nil
 }
@@ -86,12 +86,3 @@
 		m.step(agent.PlatformRead{Asked: asked})
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
