--- a/internal/node/daemon/scenario_test.go
+++ b/internal/node/daemon/scenario_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -402,10 +403,28 @@
 	}
 }
 
+// TestSlowCaller sends a body that never ends.
+func TestSlowCaller(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		conn, err := r.net.Host("caller").Dial(t.Context(), r.fleet.Deployment.List().VMs[0].Caller)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, "POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"); err != nil {
+			t.Fatal(err)
+		}
+		begun := time.Now()
+		answer, _ := io.ReadAll(conn)
+		if took := time.Since(begun); took > 10*time.Second || !strings.Contains(string(answer), "badRequest") {
+			t.Errorf("after %v the answer was %q", took, answer)
+		}
+	})
+}
+
 // TestWholeAnswers lets every server answer wrongly: then no shard may count as covered.
 func TestWholeAnswers(t *testing.T) {
 	for name, f := range map[string]backnd.Fault{
-		"truncated": {Truncate: true}, "crossed": {Crossed: true}, "of another version": {OtherVersion: true}, "partial": {Partial: true},
+		"truncated": {Truncate: true}, "corrupted": {Corrupt: true}, "crossed": {Crossed: true}, "of another version": {OtherVersion: true}, "partial": {Partial: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -40,6 +40,8 @@
 	maxTickets   = 100
 	maxLimit     = 10000
 	defaultLimit = 100
+	// bodyTimeout is how long a caller may take to send a body.
+	bodyTimeout = 5 * time.Second
 	// maxActive bounds the requests in progress on one VM.
 	maxActive = 2000
 )
@@ -152,7 +154,7 @@
 func (e *Entry) query(w http.ResponseWriter, r *http.Request) {
 	q := &request{id: e.prefix + strconv.FormatInt(e.serial.Add(1), 36), team: openTeam, arrived: e.clock.Now()}
 	w.Header().Set(caller.HeaderRequest, q.id)
-	if f := e.check(r, q); f != nil {
+	if f := e.check(w, r, q); f != nil {
 		e.refused(w, q, f)
 		return
 	}
@@ -173,11 +175,11 @@
 }
 
 // check reads a request and finds its team and route.
-func (e *Entry) check(r *http.Request, q *request) *fault.Error {
+func (e *Entry) check(w http.ResponseWriter, r *http.Request, q *request) *fault.Error {
 	if e.active.Load() > maxActive {
 		return fault.New(fault.CodeOverloaded, fault.OutcomeNotSent, "too many requests in progress here").After(100 * time.Millisecond)
 	}
-	if f := e.decode(r, &q.query); f != nil {
+	if f := e.decode(w, r, &q.query); f != nil {
 		return f
 	}
 	q.catalog = e.mesh.Catalog()
@@ -202,8 +204,8 @@
 	return nil
 }
 
-func (e *Entry) decode(r *http.Request, query *caller.Query) *fault.Error {
-	if err := netio.ReadJSON(r.Body, e.settings.MaxBody(), query); err != nil {
+func (e *Entry) decode(w http.ResponseWriter, r *http.Request, query *caller.Query) *fault.Error {
+	if err := e.read(w, r, query); err != nil {
 		if errors.Is(err, netio.ErrTooLarge) {
 			return fault.New(fault.CodeTooLarge, fault.OutcomeNotSent, "the body is longer than %d bytes", e.settings.MaxBody())
 		}
@@ -221,6 +223,21 @@
 	return nil
 }
 
+// read decodes a body that has to arrive within a time, so that slow callers hold nothing up.
+func (e *Entry) read(w http.ResponseWriter, r *http.Request, v any) error {
+	c := http.NewResponseController(w)
+	if err := c.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return errors.Errorf("bound the body: %w", err)
+	}
+	if err := netio.ReadJSON(r.Body, e.settings.MaxBody(), v); err != nil {
+		return errors.Errorf("read the body: %w", err)
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return errors.Errorf("unbound the body: %w", err)
+	}
+	return nil
+}
+
 // authenticate finds the team of the key.
 func (e *Entry) authenticate(r *http.Request, q *request) *fault.Error {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/internal/node/entry/ticketed.go
+++ b/internal/node/entry/ticketed.go
@@ -21,7 +21,7 @@
 
 func (e *Entry) tickets(w http.ResponseWriter, r *http.Request) {
 	var ask caller.TicketsAsk
-	if err := netio.ReadJSON(r.Body, e.settings.MaxBody(), &ask); err != nil || ask.Count < 1 || ask.Count > maxTickets {
+	if err := e.read(w, r, &ask); err != nil || ask.Count < 1 || ask.Count > maxTickets {
 		e.fail(w, "", fault.New(fault.CodeBadRequest, fault.OutcomeNotSent, "count is not in 1 to %d", maxTickets))
 		return
 	}
--- a/internal/stand/backnd/backnd.go
+++ b/internal/stand/backnd/backnd.go
@@ -1,6 +1,7 @@
 package backnd
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -61,6 +62,8 @@
 type Fault struct {
 	// Truncate cuts answers short on the wire.
 	Truncate bool `json:"truncate"`
+	// Corrupt changes answers on the wire without changing their length.
+	Corrupt bool `json:"corrupt"`
 	// Partial marks answers as cut short by the server.
 	Partial bool `json:"partial"`
 	// Crossed answers with another request's id.
@@ -439,6 +442,9 @@
 	}
 	w.Header().Set(owner.HeaderVersion, strconv.Itoa(version))
 	w.Header().Set(owner.HeaderDigest, strconv.FormatUint(xxhash.Sum64(raw), 16))
+	if f.Corrupt {
+		raw = bytes.Replace(raw, []byte(`"score":0.`), []byte(`"score":9.`), 1)
+	}
 	if f.Truncate {
 		raw = raw[:len(raw)/2]
 	}
