daemon: look for keys in messages, logs and operators' pages

Cause: only the backend servers looked for keys. Change: the network in memory counts messages that hold one, by sender; the judge also reads all logs at debug level, and a test reads every operator page.

--- a/internal/node/daemon/rig_test.go
+++ b/internal/node/daemon/rig_test.go
@@ -1,15 +1,18 @@
 package daemon_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
@@ -30,6 +33,7 @@
 	fleet  *local.Fleet
 	client *client.Client
 	ops    atomic.Int64
+	logs   *logBuffer
 }
 
 // inBubble runs a test of a whole fleet in virtual time.
@@ -37,8 +41,10 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New(500 * time.Microsecond)
+		n.Mark(backnd.KeyMark)
+		logs := &logBuffer{}
 		fleet, stop, err := local.Start(sample.Small(9000), local.Options{
-			Network: n.Host, Warm: true, Seed: 7,
+			Network: n.Host, Warm: true, Seed: 7, Log: log.NewWithOptions(logs, log.Options{Level: log.DebugLevel, Formatter: log.LogfmtFormatter}),
 			Tune: func(c *config.Text) { c.HoldMillis, c.ReclaimMillis = 8000, 12000 },
 		})
 		if err != nil {
@@ -50,7 +56,7 @@
 		defer stop()
 		c, closeIdle := fleet.Client(team)
 		defer closeIdle()
-		r := &rig{t: t, net: n, fleet: fleet, client: c}
+		r := &rig{t: t, net: n, fleet: fleet, client: c, logs: logs}
 		r.settle(time.Minute)
 		do(t, r)
 		n.Observe(nil)
@@ -74,9 +80,15 @@
 	time.Sleep(newsLimit)
 }
 
-// judge checks what the stand-ins saw.
+// judge checks what the stand-ins and the logs saw.
 func (r *rig) judge() {
 	r.t.Helper()
+	assertNoKey(r.t, "the logs", r.logs.String())
+	for from, messages := range r.net.Marked() {
+		if from != "caller" {
+			r.t.Errorf("%s sent %d messages that hold a key", from, messages)
+		}
+	}
 	r.fleet.Backends(func(text catlog.ServerText, s *backnd.Server) {
 		rec := s.Record()
 		slots := 2
@@ -93,6 +105,33 @@
 	})
 }
 
+// logBuffer keeps what VMs log.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write keeps a line.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// String returns all lines.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func assertNoKey(t *testing.T, where, text string) {
+	t.Helper()
+	if at := strings.Index(text, backnd.KeyMark); at >= 0 {
+		t.Errorf("%s hold a key: %.80s", where, text[max(0, at-40):])
+	}
+}
+
 func assertAtMost(t *testing.T, server ident.Server, what string, got, most int) {
 	t.Helper()
 	if got > most {
--- a/internal/node/daemon/scenario_test.go
+++ b/internal/node/daemon/scenario_test.go
@@ -403,6 +403,53 @@
 	}
 }
 
+// TestOperatorPages asks a VM for everything that operators can see, after an answer and a refusal.
+func TestOperatorPages(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		vm := r.fleet.Deployment.Settings(0)
+		answer, err := r.client.QueryAt(t.Context(), vm.Caller, caller.Query{Route: "all"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = r.client.QueryAt(t.Context(), vm.Caller, caller.Query{Route: "nowhere"})
+		assertRefused(t, err, fault.CodeNotFound)
+		for path, wants := range map[string][]string{
+			"/healthz":                      nil,
+			"/readyz":                       nil,
+			"/status":                       {`"preset":"ordinary"`, `"holdsClaims":true`, `"warmth":`},
+			"/metrics":                      {`kumquatreel_request_seconds_bucket{class="search",team="team0"`, `code="notFound"`, `kumquatreel_owner_queue_seconds_bucket{team="team0"`},
+			"/requests/" + answer.RequestID: {`"what":"send"`, `"what":"answered"`, `"result":"answered"`},
+		} {
+			page := r.page(vm.Operator, path)
+			assertNoKey(t, "the page "+path, page)
+			for _, want := range wants {
+				if !strings.Contains(page, want) {
+					t.Errorf("%s lacks %s", path, want)
+				}
+			}
+		}
+	})
+}
+
+func (r *rig) page(address, path string) string {
+	transport, closeIdle := netio.Transport(r.net.Host("operator"), 1)
+	defer closeIdle()
+	req, err := http.NewRequestWithContext(r.t.Context(), http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		r.t.Errorf("%s answered %d, %v", path, resp.StatusCode, err)
+	}
+	return string(raw)
+}
+
 // TestSlowCaller sends a body that never ends.
 func TestSlowCaller(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
--- a/internal/stand/memnet/memnet.go
+++ b/internal/stand/memnet/memnet.go
@@ -1,8 +1,10 @@
 package memnet
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"strings"
 	"sync"
@@ -33,13 +35,15 @@
 	changed   chan struct{}
 	delay     time.Duration
 	observer  func(Passing)
+	mark      []byte
+	marked    map[string]int
 }
 
 // New returns a network on which every message takes a time.
 func New(delay time.Duration) *Net {
 	return &Net{
 		listeners: make(map[string]*listener), links: make(map[*link]struct{}),
-		cuts: make(map[[2]string]bool), changed: make(chan struct{}), delay: delay,
+		cuts: make(map[[2]string]bool), marked: make(map[string]int), changed: make(chan struct{}), delay: delay,
 	}
 }
 
@@ -53,6 +57,28 @@
 	n.observer = f
 }
 
+// Mark makes the network count the messages that hold a text, by their sender.
+func (n *Net) Mark(text string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mark = []byte(text)
+}
+
+// Marked returns how many messages each sender sent that held the marked text.
+func (n *Net) Marked() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.marked)
+}
+
+func (n *Net) inspect(from string, data []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.mark) > 0 && bytes.Contains(data, n.mark) {
+		n.marked[from]++
+	}
+}
+
 // Cut holds back everything that one host sends to another until Heal.
 func (n *Net) Cut(from, to string) {
 	n.mu.Lock()
@@ -209,6 +235,7 @@
 	for {
 		n, err := in.Read(buf)
 		if n > 0 {
+			k.net.inspect(from, buf[:n])
 			k.net.tell(Passing{From: from, To: to, Path: k.see(buf[:n], reply), Reply: reply})
 			select {
 			case queue <- packet{data: append([]byte(nil), buf[:n]...), due: time.Now().Add(k.net.delay)}:
