agent: test that news counts only with its configuration

Cause: taking the rule out failed no test. Measured: without the rule the VM counts as fresh and the test fails.

--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -12,6 +12,7 @@
 	"kumquatreel.example/kumquatreel/internal/fleet/agent"
 	"kumquatreel.example/kumquatreel/internal/stand/drive"
 	"kumquatreel.example/kumquatreel/internal/stand/sample"
+	"kumquatreel.example/kumquatreel/internal/wire/inner"
 )
 
 // spans are short, so that every rule comes into play within a run.
@@ -342,6 +343,33 @@
 	})
 }
 
+// TestNewsNeedsItsConfiguration gives a VM the word of fresh news from a peer that has a newer configuration.
+func TestNewsNeedsItsConfiguration(t *testing.T) {
+	w := newWorld(11, 5)
+	assertSettled(t, w, 10*time.Second)
+	w.sim.Network.Cut = func(from, to ident.VM) bool { return from == "vm0" || to == "vm0" }
+	w.sim.Network.NoPlatform = func(vm ident.VM) bool { return vm == "vm0" }
+	w.sim.Run(w.sim.Now()+2*spans.Fresh, nil)
+	n, peer := w.sim.Node("vm0"), w.sim.Node("vm1")
+	answer := func(revision int64) agent.Answered {
+		return agent.Answered{VM: "vm1", Asked: n.Clock(), Reply: inner.ExchangeReply{
+			Report: peer.Agent.Member().Report(peer.Clock(), 0), Revision: revision, NewsAge: inner.AgeOf(0),
+		}}
+	}
+	t.Run("a newer configuration alone makes nothing fresh", func(t *testing.T) {
+		n.Agent.Step(n.Clock(), answer(2))
+		if n.Agent.Fresh(n.Clock()) {
+			t.Error("the VM is fresh with an older configuration than the news")
+		}
+	})
+	t.Run("news of its own configuration does", func(t *testing.T) {
+		n.Agent.Step(n.Clock(), answer(1))
+		if !n.Agent.Fresh(n.Clock()) {
+			t.Error("the VM is not fresh")
+		}
+	})
+}
+
 // TestStalePlatformTakesNothingBack lets the platform answer with an older document again.
 func TestStalePlatformTakesNothingBack(t *testing.T) {
 	w := newWorld(10, 3)
