--- /dev/null
+++ b/internal/fleet/direct/direct_test.go
@@ -0,0 +1,81 @@
+package direct_test
+
+import (
+	"slices"
+	"testing"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/catlog"
+	"kumquatreel.example/kumquatreel/internal/fleet/direct"
+	"kumquatreel.example/kumquatreel/internal/stand/sample"
+)
+
+// choose asks for addresses after a change to the documents.
+func choose(t *testing.T, team ident.Team, change func(*catlog.Text, *catlog.VMListText), view direct.View) []string {
+	t.Helper()
+	d := sample.Registry(9000)
+	doc, list := d.Document(), d.List()
+	change(&doc, &list)
+	c, err := catlog.Parse(1, []byte(sample.Text(doc)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	vms, err := catlog.ParseVMs(1, []byte(sample.Text(list)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return direct.Choose(c, vms, team, view)
+}
+
+func nothing(*catlog.Text, *catlog.VMListText) {}
+
+var allUp = direct.View{
+	Reachable: func(ident.VM) bool { return true },
+	Load:      func(ident.VM) float64 { return 0 },
+}
+
+func assertLacks(t *testing.T, addresses []string, address string) {
+	t.Helper()
+	if len(addresses) != 3 || slices.Contains(addresses, address) {
+		t.Errorf("the addresses are %v, want three without %s", addresses, address)
+	}
+}
+
+func TestChoose(t *testing.T) {
+	first := choose(t, "team0", nothing, allUp)[0]
+	t.Run("a team gets the same addresses", func(t *testing.T) {
+		if again := choose(t, "team0", nothing, allUp)[0]; again != first {
+			t.Errorf("first %s, then %s", first, again)
+		}
+	})
+	t.Run("without leaving VMs", func(t *testing.T) {
+		assertLacks(t, choose(t, "team0", func(_ *catlog.Text, l *catlog.VMListText) {
+			for i := range l.VMs {
+				if l.VMs[i].Caller == first {
+					l.VMs[i].State = catlog.VMLeaving
+				}
+			}
+		}, allUp), first)
+	})
+	t.Run("without VMs of a domain that is out", func(t *testing.T) {
+		assertLacks(t, choose(t, "team0", func(d *catlog.Text, l *catlog.VMListText) {
+			for _, vm := range l.VMs {
+				if vm.Caller == first {
+					d.Domains[vm.Domain] = catlog.DomainOut
+				}
+			}
+		}, allUp), first)
+	})
+	t.Run("without busy VMs while there are idle ones", func(t *testing.T) {
+		busy := allUp
+		busy.Load = func(vm ident.VM) float64 {
+			for _, v := range sample.Registry(9000).List().VMs {
+				if v.Caller == first && v.Name == vm {
+					return 0.9
+				}
+			}
+			return 0
+		}
+		assertLacks(t, choose(t, "team0", nothing, busy), first)
+	})
+}
