--- a/internal/fleet/direct/direct_test.go
+++ b/internal/fleet/direct/direct_test.go
@@ -11,7 +11,7 @@
 )
 
 // choose asks for addresses after a change to the documents.
-func choose(t *testing.T, team ident.Team, change func(*catlog.Text, *catlog.VMListText), view direct.View) []string {
+func choose(t *testing.T, change func(*catlog.Text, *catlog.VMListText), view direct.View) []string {
 	t.Helper()
 	d := sample.Registry(9000)
 	doc, list := d.Document(), d.List()
@@ -24,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return direct.Choose(c, vms, team, view)
+	return direct.Choose(c, vms, "team0", view)
 }
 
 func nothing(*catlog.Text, *catlog.VMListText) {}
@@ -42,14 +42,14 @@
 }
 
 func TestChoose(t *testing.T) {
-	first := choose(t, "team0", nothing, allUp)[0]
+	first := choose(t, nothing, allUp)[0]
 	t.Run("a team gets the same addresses", func(t *testing.T) {
-		if again := choose(t, "team0", nothing, allUp)[0]; again != first {
+		if again := choose(t, nothing, allUp)[0]; again != first {
 			t.Errorf("first %s, then %s", first, again)
 		}
 	})
 	t.Run("without leaving VMs", func(t *testing.T) {
-		assertLacks(t, choose(t, "team0", func(_ *catlog.Text, l *catlog.VMListText) {
+		assertLacks(t, choose(t, func(_ *catlog.Text, l *catlog.VMListText) {
 			for i := range l.VMs {
 				if l.VMs[i].Caller == first {
 					l.VMs[i].State = catlog.VMLeaving
@@ -58,7 +58,7 @@
 		}, allUp), first)
 	})
 	t.Run("without VMs of a domain that is out", func(t *testing.T) {
-		assertLacks(t, choose(t, "team0", func(d *catlog.Text, l *catlog.VMListText) {
+		assertLacks(t, choose(t, func(d *catlog.Text, l *catlog.VMListText) {
 			for _, vm := range l.VMs {
 				if vm.Caller == first {
 					d.Domains[vm.Domain] = catlog.DomainOut
@@ -76,6 +76,6 @@
 			}
 			return 0
 		}
-		assertLacks(t, choose(t, "team0", nothing, busy), first)
+		assertLacks(t, choose(t, nothing, busy), first)
 	})
 }
--- /dev/null
+++ b/internal/node/daemon/caller_test.go
@@ -0,0 +1,191 @@
+package daemon_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/stand/backnd"
+	"kumquatreel.example/kumquatreel/internal/wire/caller"
+	"kumquatreel.example/kumquatreel/internal/wire/client"
+	"kumquatreel.example/kumquatreel/internal/wire/netio"
+)
+
+func TestOpenRouteNeedsNoKey(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		c, closeIdle := client.New(r.net.Host("caller"), []string{r.fleet.Deployment.List().VMs[0].Caller}, "", "")
+		defer closeIdle()
+		phase(t, "an open route answers", func() {
+			if _, err := c.Query(t.Context(), caller.Query{Route: "public"}); err != nil {
+				t.Error(err)
+			}
+		})
+		phase(t, "a wrong key is refused", func() {
+			wrong, closeWrong := client.New(r.net.Host("caller"), []string{r.fleet.Deployment.List().VMs[0].Caller}, "", "secret-nobody")
+			defer closeWrong()
+			_, err := wrong.Query(t.Context(), caller.Query{Route: "all"})
+			assertRefused(t, err, fault.CodeUnauthorized)
+		})
+		phase(t, "another route refuses", func() {
+			_, err := c.Query(t.Context(), caller.Query{Route: "all"})
+			assertRefused(t, err, fault.CodeUnauthorized)
+		})
+	})
+}
+
+func TestBadRequests(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		address := r.fleet.Deployment.List().VMs[0].Caller
+		for name, c := range map[string]struct {
+			query caller.Query
+			code  fault.Code
+		}{
+			"unknown route":         {caller.Query{Route: "nowhere"}, fault.CodeNotFound},
+			"no record":             {caller.Query{Route: "book"}, fault.CodeBadRequest},
+			"ticket where none is":  {caller.Query{Route: "all", Ticket: "x"}, fault.CodeBadRequest},
+			"malformed ticket":      {caller.Query{Route: "book", Record: "b", Ticket: "x"}, fault.CodeBadRequest},
+			"negative deadline":     {caller.Query{Route: "all", DeadlineMillis: -1}, fault.CodeBadRequest},
+			"limit out of range":    {caller.Query{Route: "all", Limit: -1}, fault.CodeBadRequest},
+			"body above its bounds": {caller.Query{Route: "all", Record: string(make([]byte, 70<<10))}, fault.CodeTooLarge},
+		} {
+			phase(t, name, func() {
+				_, err := r.client.QueryAt(t.Context(), address, c.query)
+				assertRefused(t, err, c.code)
+			})
+		}
+	})
+}
+
+func TestTicketElsewhere(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		tickets, err := r.client.Tickets(t.Context(), 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		q := func(i int) caller.Query {
+			return caller.Query{Route: "book", Record: "b", Ticket: tickets.Tickets[i], Body: []byte(fmt.Sprintf(`{"operation":"elsewhere-%d"}`, i))}
+		}
+		phase(t, "another VM passes it on and it runs once", func() {
+			for _, vm := range r.fleet.Deployment.List().VMs {
+				if _, err := r.client.QueryAt(t.Context(), vm.Caller, q(0)); err != nil {
+					t.Errorf("%s: %v", vm.Name, err)
+				}
+			}
+			if n := r.runs("elsewhere-0"); n != 1 {
+				t.Errorf("it ran %d times", n)
+			}
+		})
+		phase(t, "after a restart of its VM the outcome is unknown", func() {
+			for i, vm := range r.fleet.Deployment.List().VMs {
+				if vm.Caller == tickets.Address {
+					r.fleet.KillVM(i)
+					r.replace(i)
+				}
+			}
+			r.settle(time.Minute)
+			for _, vm := range r.fleet.Deployment.List().VMs {
+				_, err := r.client.QueryAt(t.Context(), vm.Caller, q(1))
+				var refused *client.Error
+				if !errors.As(err, &refused) || refused.Code() != fault.CodeOutcomeUnknown || refused.NotRun() {
+					t.Errorf("%s: %v", vm.Name, err)
+				}
+			}
+			if n := r.runs("elsewhere-1"); n != 0 {
+				t.Errorf("it ran %d times", n)
+			}
+		})
+	})
+}
+
+// TestOperatorPages asks a VM for everything that operators can see, after an answer and a refusal.
+func TestOperatorPages(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		vm := r.fleet.Deployment.Settings(0)
+		answer, err := r.client.QueryAt(t.Context(), vm.Caller, caller.Query{Route: "all"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = r.client.QueryAt(t.Context(), vm.Caller, caller.Query{Route: "nowhere"})
+		assertRefused(t, err, fault.CodeNotFound)
+		for path, wants := range map[string][]string{
+			"/healthz":                      nil,
+			"/readyz":                       nil,
+			"/status":                       {`"preset":"ordinary"`, `"holdsClaims":true`, `"warmth":`},
+			"/metrics":                      {`kumquatreel_request_seconds_bucket{class="search",team="team0"`, `code="notFound"`, `kumquatreel_owner_queue_seconds_bucket{team="team0"`},
+			"/requests/" + answer.RequestID: {`"what":"send"`, `"what":"answered"`, `"result":"answered"`},
+		} {
+			page := r.page(vm.Operator, path)
+			assertNoKey(t, "the page "+path, page)
+			for _, want := range wants {
+				if !strings.Contains(page, want) {
+					t.Errorf("%s lacks %s", path, want)
+				}
+			}
+		}
+	})
+}
+
+func (r *rig) page(address, path string) string {
+	transport, closeIdle := netio.Transport(r.net.Host("operator"), 1)
+	defer closeIdle()
+	req, err := http.NewRequestWithContext(r.t.Context(), http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		r.t.Errorf("%s answered %d, %v", path, resp.StatusCode, err)
+	}
+	return string(raw)
+}
+
+// TestSlowCaller sends a body that never ends.
+func TestSlowCaller(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		conn, err := r.net.Host("caller").Dial(t.Context(), r.fleet.Deployment.List().VMs[0].Caller)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, "POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"); err != nil {
+			t.Fatal(err)
+		}
+		begun := time.Now()
+		answer, _ := io.ReadAll(conn)
+		if took := time.Since(begun); took > 10*time.Second || !strings.Contains(string(answer), "badRequest") {
+			t.Errorf("after %v the answer was %q", took, answer)
+		}
+	})
+}
+
+// TestWholeAnswers lets every server answer wrongly: then no shard may count as covered.
+func TestWholeAnswers(t *testing.T) {
+	for name, f := range map[string]backnd.Fault{
+		"truncated": {Truncate: true}, "corrupted": {Corrupt: true}, "crossed": {Crossed: true}, "of another version": {OtherVersion: true}, "partial": {Partial: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inBubble(t, func(t *testing.T, r *rig) {
+				r.allServers(f)
+				answer, err := r.client.Query(t.Context(), caller.Query{Route: "all"})
+				var refused *client.Error
+				if !errors.As(err, &refused) || refused.Code() != fault.CodeLowCoverage {
+					t.Errorf("wrong answers gave %+v, %v", answer, err)
+				}
+				if refused != nil && refused.NotRun() {
+					t.Error("parts that ran were said not to have run")
+				}
+			})
+		})
+	}
+}
