catlog, slots: let a failure domain return with its servers cold

Change: the state returning; a server whose domain returns counts as cold from then on and warms up on its completions. Ruled out: a time for the return, since ramps go by completions. Measured: a domain whose servers turned cold while it was out returns under load: no request lost, no overrun, each of its lookup servers works again.

--- a/internal/conf/catlog/catlog.go
+++ b/internal/conf/catlog/catlog.go
@@ -51,9 +51,12 @@
 // DomainIn reports whether a failure domain may receive new work.
 func (c *Catalog) DomainIn(d ident.Domain) bool {
 	state, ok := c.domains[d]
-	return ok && state == DomainIn
+	return ok && state != DomainOut
 }
 
+// Returning reports whether a backend server's failure domain comes back into service.
+func (c *Catalog) Returning(s *Server) bool { return c.domains[s.domain] == DomainReturning }
+
 // Teams returns the teams in published order.
 func (c *Catalog) Teams() []*Team { return c.order.teams }
 
--- a/internal/conf/catlog/enum.go
+++ b/internal/conf/catlog/enum.go
@@ -9,6 +9,8 @@
 const (
 	DomainIn DomainState = iota
 	DomainOut
+	// DomainReturning is in service again, with every backend server taken for cold.
+	DomainReturning
 )
 
 // ServerState is what the platform says of a backend server.
--- a/internal/conf/catlog/enums.go
+++ b/internal/conf/catlog/enums.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _DomainStateName = "inout"
+const _DomainStateName = "inoutreturning"
 
-var _DomainStateIndex = [...]uint8{0, 2, 5}
+var _DomainStateIndex = [...]uint8{0, 2, 5, 14}
 
-const _DomainStateLowerName = "inout"
+const _DomainStateLowerName = "inoutreturning"
 
 func (i DomainState) String() string {
 	if i < 0 || i >= DomainState(len(_DomainStateIndex)-1) {
@@ -26,23 +26,27 @@
 	var x [1]struct{}
 	_ = x[DomainIn-(0)]
 	_ = x[DomainOut-(1)]
+	_ = x[DomainReturning-(2)]
 }
 
-var _DomainStateValues = []DomainState{DomainIn, DomainOut}
+var _DomainStateValues = []DomainState{DomainIn, DomainOut, DomainReturning}
 
 var _DomainStateNameToValueMap = map[string]DomainState{
-	_DomainStateName[0:2]: DomainIn,
-	_DomainStateName[2:5]: DomainOut,
+	_DomainStateName[0:2]:  DomainIn,
+	_DomainStateName[2:5]:  DomainOut,
+	_DomainStateName[5:14]: DomainReturning,
 }
 
 var _DomainStateLowerNameToValueMap = map[string]DomainState{
-	_DomainStateLowerName[0:2]: DomainIn,
-	_DomainStateLowerName[2:5]: DomainOut,
+	_DomainStateLowerName[0:2]:  DomainIn,
+	_DomainStateLowerName[2:5]:  DomainOut,
+	_DomainStateLowerName[5:14]: DomainReturning,
 }
 
 var _DomainStateNames = []string{
 	_DomainStateName[0:2],
 	_DomainStateName[2:5],
+	_DomainStateName[5:14],
 }
 
 // DomainStateString retrieves an enum value from the enum constants string name.
--- a/internal/limit/slots/event.go
+++ b/internal/limit/slots/event.go
@@ -56,6 +56,8 @@
 	WarmAfter int
 	// Usable is false when the server must receive nothing new.
 	Usable bool
+	// Returning is set while the server's failure domain comes back: it counts as cold when that begins.
+	Returning bool
 	// Valid reports whether a team may still use a key.
 	Valid func(team ident.Team, keyID string) bool
 }
--- a/internal/limit/slots/slots.go
+++ b/internal/limit/slots/slots.go
@@ -35,6 +35,7 @@
 	lastGood clock.Instant
 	probedAt clock.Instant
 	vouched  bool
+	returned bool
 }
 
 // New returns a machine for a server that counts as cold.
@@ -42,6 +43,10 @@
 
 // Step takes one event and returns what follows from it.
 func (m *Machine) Step(now clock.Instant, env Env, ev Event) []Action {
+	if env.Returning && !m.returned {
+		m.turnCold(m.serverID)
+	}
+	m.returned = env.Returning
 	var out []Action
 	switch ev := ev.(type) {
 	case Offer:
--- a/internal/limit/slots/slots_test.go
+++ b/internal/limit/slots/slots_test.go
@@ -130,6 +130,23 @@
 	})
 }
 
+func TestReturningDomain(t *testing.T) {
+	b := newBench(t)
+	b.warm()
+	b.env.Returning = true
+	t.Run("makes its server cold", func(t *testing.T) {
+		id, _ := b.offer("a")
+		if b.m.Warmth() != slots.WarmthCold {
+			t.Errorf("the server is %v", b.m.Warmth())
+		}
+		b.done(id, good("1"))
+	})
+	t.Run("lets it become warm once", func(t *testing.T) {
+		b.warm()
+		assertFills(t, b, 4)
+	})
+}
+
 func TestHandover(t *testing.T) {
 	t.Run("a vouched server gets one part although it could bear none", func(t *testing.T) {
 		b := newBench(t)
--- a/internal/node/daemon/scenario_test.go
+++ b/internal/node/daemon/scenario_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -301,6 +302,32 @@
 	})
 }
 
+// TestDomainReturnsUnderLoad brings a domain back whose servers have turned cold meanwhile.
+func TestDomainReturnsUnderLoad(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *rig) {
+		set := func(state catlog.DomainState) {
+			r.fleet.Publish(func(t *catlog.Text) { t.Domains[goneDomain] = state })
+		}
+		res := r.underLoad(loadRate, 15*time.Second, func() {
+			set(catlog.DomainOut)
+			time.Sleep(newsLimit)
+			r.fleet.Backends(func(text catlog.ServerText, s *backnd.Server) {
+				if text.Domain == goneDomain {
+					s.TurnCold(false)
+				}
+			})
+			set(catlog.DomainReturning)
+		})
+		assertNoneFailed(t, res)
+		r.fleet.Backends(func(text catlog.ServerText, s *backnd.Server) {
+			served := strings.HasPrefix(string(text.Name), "lookup")
+			if served && text.Domain == goneDomain && time.Since(s.Record().LastStart) > 10*time.Second {
+				t.Errorf("server %s gets no work after its domain has returned", text.Name)
+			}
+		})
+	})
+}
+
 // TestUnusedConnectionsClose takes a domain out, whose servers then keep no connection for a VM that may not use it.
 func TestUnusedConnectionsClose(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *rig) {
--- a/internal/node/owner/owner.go
+++ b/internal/node/owner/owner.go
@@ -240,6 +240,7 @@
 		QueueMax:  catalog.Preset().QueuePerServer(),
 		WarmAfter: published.Service().WarmAfter(),
 		Usable:    catalog.Usable(published),
+		Returning: catalog.Returning(published),
 		Valid: func(team ident.Team, keyID string) bool {
 			t := catalog.Team(team)
 			return keyID == "" || t == nil || t.HasKey(keyID)
