--- a/internal/stand/backnd/backnd.go
+++ b/internal/stand/backnd/backnd.go
@@ -31,6 +31,9 @@
 
 const maxBody = 1 << 20
 
+// healthLag is how far a server's own word of its health lies behind.
+const healthLag = 10 * time.Second
+
 // signTime is how long a sign of a cold start takes to reach the other end, and what is under way to arrive:
 // a closed connection, or the end of the first part that was begun cold.
 const signTime = 2 * time.Millisecond
@@ -53,6 +56,9 @@
 	coldSince   time.Time
 	signAt      time.Time
 	fault       Fault
+	healthAt    time.Time
+	healthWas   Health
+	healthNow   Health
 	running     map[string]context.CancelFunc
 	open        map[net.Conn]struct{}
 	record      Record
@@ -81,7 +87,8 @@
 	s := &Server{
 		model: model, rng: rand.New(rand.NewPCG(model.Seed, xxhash.Sum64String(string(model.Name)))),
 		incarnation: 1, signAt: time.Now(), freed: make(chan struct{}), running: make(map[string]context.CancelFunc),
-		open: make(map[net.Conn]struct{}),
+		open:      make(map[net.Conn]struct{}),
+		healthWas: Health{Healthy: true}, healthNow: Health{Healthy: true},
 	}
 	s.record.RunsByRecord = make(map[string]int)
 	s.record.Teams = make(map[string]int)
@@ -200,6 +207,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /shards/{service}/{shard}", s.part)
 	mux.HandleFunc("POST /cancel", s.cancel)
+	mux.HandleFunc("GET /health", s.health)
 	mux.HandleFunc("GET /control/record", func(w http.ResponseWriter, _ *http.Request) {
 		netio.WriteJSON(w, http.StatusOK, s.Record())
 	})
@@ -207,6 +215,26 @@
 	return mux
 }
 
+// Health is what a server says of itself, as it was some time ago; a cold server calls itself healthy.
+type Health struct {
+	Healthy bool    `json:"healthy"`
+	Load    float64 `json:"load"`
+}
+
+// health answers with the state of the last time that the lag had passed, so that it lags and misleads.
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.healthAt) >= healthLag {
+		s.healthAt, s.healthWas = time.Now(), s.healthNow
+		s.healthNow = Health{
+			Healthy: !time.Now().Before(s.downUntil) && !s.draining,
+			Load:    float64(s.inFlight) / float64(s.model.Slots),
+		}
+	}
+	netio.WriteJSON(w, http.StatusOK, s.healthWas)
+}
+
 func (s *Server) control(w http.ResponseWriter, r *http.Request) {
 	switch r.PathValue("action") {
 	case "warm":
