--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"net/http"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod enumer -type=Code -text -transform=title-lower -trimprefix=Code -output=code_enum.go
@@ -85,15 +83,6 @@
 // RetryAfter returns how long a caller should wait, zero when nothing is known.
 func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
 
-// From returns the Error inside err, or an internal one with an unknown outcome.
-func From(err error) *Error {
-	var e *Error
-	if errors.As(err, &e) {
-		return e
-	}
-	return New(CodeInternal, OutcomeUnknown, "internal failure")
-}
-
 // Status returns the HTTP status code that belongs to a code.
 func (i Code) Status() int {
 	switch i {
--- a/internal/base/group/doc.go
+++ b/internal/base/group/doc.go
@@ -1,2 +1,2 @@
-// Package group holds small generic value types: a set and an optional value.
+// Package group holds small generic value types, so far a set.
 package group
--- a/internal/base/group/group.go
+++ b/internal/base/group/group.go
@@ -38,15 +38,3 @@
 
 // Sorted returns the values of a set in ascending order.
 func Sorted[T cmp.Ordered](s Set[T]) []T { return slices.Sorted(maps.Keys(s)) }
-
-// Option is a value that may be absent; the zero value is absent.
-type Option[T any] struct {
-	value T
-	ok    bool
-}
-
-// Some returns an option that holds v.
-func Some[T any](v T) Option[T] { return Option[T]{value: v, ok: true} }
-
-// Get returns the value and whether there is one.
-func (o Option[T]) Get() (T, bool) { return o.value, o.ok }
--- a/internal/conf/catlog/catlog.go
+++ b/internal/conf/catlog/catlog.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"strings"
 	"time"
@@ -308,9 +307,6 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// SameText reports whether two published texts are equal.
-func SameText(a, b []byte) bool { return subtle.ConstantTimeCompare(a, b) == 1 }
-
 func match(pattern, name string) bool {
 	if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
 		return strings.HasPrefix(name, prefix)
--- a/internal/fleet/agent/loans.go
+++ b/internal/fleet/agent/loans.go
@@ -37,7 +37,7 @@
 		switch {
 		case a.can(now, vm):
 			able = append(able, vm)
-		case a.member.Answering(now, vm) && a.member.HoldsClaims(now, vm):
+		case a.serves(now, vm):
 			others = append(others, vm)
 		}
 	}
@@ -51,6 +51,11 @@
 	return a.member.Reachable(now, vm) && a.member.HoldsClaims(now, vm)
 }
 
+// serves reports whether a VM is there and may use claims, whether it stays or leaves.
+func (a *Agent) serves(now clock.Instant, vm ident.VM) bool {
+	return a.member.Answering(now, vm) && a.member.HoldsClaims(now, vm)
+}
+
 // ReadyHome reports whether this VM is a team's home and has gathered every part of its rate that can be had.
 func (a *Agent) ReadyHome(now clock.Instant, team ident.Team) bool {
 	pool := a.pools[team]
@@ -59,7 +64,7 @@
 	}
 	holders := 0
 	for _, p := range a.member.Members() {
-		if vm := member.VMOf(p); a.member.HoldsClaims(now, vm) && a.member.Answering(now, vm) {
+		if vm := member.VMOf(p); a.serves(now, vm) {
 			holders++
 		}
 	}
@@ -196,7 +201,7 @@
 // MayProbe reports whether no other VM that answers holds slots of a backend server, so that this VM may find out alone whether it is warm.
 func (a *Agent) MayProbe(now clock.Instant, server *catlog.Server) bool {
 	for _, vm := range a.holders(server) {
-		if vm != a.opts.VM && a.member.Answering(now, vm) && a.member.HoldsClaims(now, vm) {
+		if vm != a.opts.VM && a.serves(now, vm) {
 			return false
 		}
 	}
@@ -211,7 +216,7 @@
 		switch {
 		case a.can(now, vm):
 			able = append(able, vm)
-		case a.member.HoldsClaims(now, vm) && a.member.Answering(now, vm):
+		case a.serves(now, vm):
 			leaving = append(leaving, vm)
 		}
 	}
--- a/internal/node/entry/fanout.go
+++ b/internal/node/entry/fanout.go
@@ -406,27 +406,14 @@
 			f.arrive(a, r)
 		}
 	})
-	code := fault.CodeUnavailable
 	if err != nil {
 		f.entry.log.Debug("batch not answered", "vm", vm, "reason", err)
-		code = codeOf(err)
 	}
 	for _, a := range left {
-		f.lost(a, outcome, code)
+		f.lost(a, outcome, fault.CodeUnavailable)
 	}
 }
 
-func codeOf(err error) fault.Code {
-	var status *netio.StatusError
-	if errors.As(err, &status) {
-		var failure inner.Failure
-		if json.Unmarshal(status.Body(), &failure) == nil {
-			return failure.Code
-		}
-	}
-	return fault.CodeUnavailable
-}
-
 // stream returns the outcome that holds for the parts without a reply.
 func (f *flight) stream(vm ident.VM, batch *inner.Parts, reply func(inner.PartReply)) (fault.Outcome, error) {
 	address := f.entry.mesh.Address(vm)
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -38,7 +38,6 @@
 	metrics  *metric.Set
 	client   *http.Client
 	wait     sync.WaitGroup
-	changed  chan struct{}
 
 	mu      sync.Mutex
 	agent   *agent.Agent
@@ -54,7 +53,6 @@
 		settings: settings, clock: src, metrics: metrics,
 		log:     logger.WithPrefix("fleet"),
 		client:  &http.Client{Transport: transport},
-		changed: make(chan struct{}, 1),
 		asking:  make(map[ident.VM]bool),
 		fetched: make(map[ident.VM]bool),
 	}
@@ -80,9 +78,6 @@
 // Client returns the HTTP client for other VMs.
 func (m *Mesh) Client() *http.Client { return m.client }
 
-// Changed signals after a configuration came in force.
-func (m *Mesh) Changed() <-chan struct{} { return m.changed }
-
 // With calls f with the agent under its lock.
 func (m *Mesh) With(f func(now clock.Instant, a *agent.Agent)) {
 	m.mu.Lock()
@@ -213,10 +208,6 @@
 		case agent.InForce:
 			m.metrics.Revision(act.Revision)
 			m.log.Info("configuration in force", "revision", act.Revision)
-			select {
-			case m.changed <- struct{}{}:
-			default:
-			}
 		case agent.Rejected:
 			m.metrics.DocumentRefused()
 			m.log.Error("document refused", "reason", act.Reason)
