--- /dev/null
+++ b/cmd/kumquatreel/edge.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"crypto/rand"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/conf/setup"
+	"kumquatreel.example/kumquatreel/internal/tier/edge"
+	"kumquatreel.example/kumquatreel/internal/tier/logs"
+	"kumquatreel.example/kumquatreel/platform"
+)
+
+type edgeCommand struct {
+	Settings string `long:"settings" env:"KUMQUATREEL_CONFIG" required:"yes" description:"file with the VM's settings"`
+}
+
+// Execute runs a VM on the users' platform until a signal; SIGHUP reads the settings again.
+func (c *edgeCommand) Execute([]string) error {
+	settings, err := setup.Load(c.Settings)
+	if err != nil {
+		return errors.Errorf("edge: %w", err)
+	}
+	level, err := log.ParseLevel(settings.LogLevel())
+	if err != nil {
+		return errors.Errorf("edge: log level: %w", err)
+	}
+	lines, closeLog := logs.New(os.Stdout, level)
+	defer closeLog()
+	store, closeStore := platform.NewStore(settings.Store())
+	defer closeStore()
+	opts := edge.Options{Path: c.Settings, Names: platform.Names(), Store: store, Decode: platform.Decode, Log: lines}
+	if _, err := rand.Read(opts.Seed[:]); err != nil {
+		return errors.Errorf("edge: %w", err)
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	e, kill, err := edge.New(settings, opts)
+	if err != nil {
+		return errors.Errorf("edge: %w", err)
+	}
+	defer kill()
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		e.Reload("SIGHUP")
+	}
+	go func() {
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				closeLog()
+				os.Exit(1)
+			}
+		}
+	}()
+	e.Shutdown(settings.Grace())
+	return nil
+}
--- a/cmd/kumquatreel/main.go
+++ b/cmd/kumquatreel/main.go
@@ -23,6 +23,11 @@
 			Long: "Runs the process of one entry VM until it gets SIGTERM or SIGINT, then shuts down without cutting a request.\n\nExample: kumquatreel serve --settings examples/registry/vm0.jsonc",
 			Run:  &serveCommand{},
 		},
+		{
+			Name: "edge", Short: "Run an entry VM on the users' platform",
+			Long: "Runs the process of one entry VM that sends requests directly to backend servers, until it gets SIGTERM or SIGINT; SIGHUP reads the settings again.\n\nExample: kumquatreel edge --settings /etc/kumquatreel/settings.jsonc",
+			Run:  &edgeCommand{},
+		},
 		{
 			Name: "check", Short: "Check settings and documents",
 			Long: "Names every fault in settings files and published documents; exits with 1 when there is one.\n\nExample: kumquatreel check --kind configuration examples/registry/configuration.json",
--- /dev/null
+++ b/internal/limit/repeat/repeat.go
@@ -0,0 +1,88 @@
+package repeat
+
+import (
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+)
+
+const (
+	// slots is the number of steps in which the window slides.
+	slots = 20
+	// keepRatio and keepSlack leave room for requests that straddle the windows in which others count.
+	keepRatio = 0.85
+	keepSlack = 0.8
+)
+
+// Terms are the bounds of repeats for one service over the whole fleet.
+type Terms struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Budget counts the first and repeated requests of each service; it is driven under its owner's lock.
+type Budget struct {
+	terms    Terms
+	services map[ident.Service]*ring
+}
+
+type ring struct {
+	first   [slots]int
+	repeats [slots]int
+	at      int64
+}
+
+// New returns a budget without requests.
+func New(terms Terms) *Budget { return &Budget{terms: terms, services: make(map[ident.Service]*ring)} }
+
+// First counts a request that was sent for the first time.
+func (b *Budget) First(now time.Time, s ident.Service) {
+	r := b.ring(now, s)
+	r.first[r.at%slots]++
+}
+
+// Take counts a repeat and reports whether the bounds allow it, for a VM that is one of some.
+func (b *Budget) Take(now time.Time, s ident.Service, members int) bool {
+	r := b.ring(now, s)
+	first, repeats := 0, 0
+	for i := range slots {
+		first += r.first[i]
+		repeats += r.repeats[i]
+	}
+	allowed := keepRatio*b.terms.Ratio*float64(first) + keepSlack*b.terms.Slack/float64(max(1, members))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	r.repeats[r.at%slots]++
+	return true
+}
+
+// Counts returns the first and repeated requests of a service in the window.
+func (b *Budget) Counts(now time.Time, s ident.Service) (first, repeats int) {
+	r := b.ring(now, s)
+	for i := range slots {
+		first += r.first[i]
+		repeats += r.repeats[i]
+	}
+	return first, repeats
+}
+
+// ring returns the counts of a service with the window moved up to now.
+func (b *Budget) ring(now time.Time, s ident.Service) *ring {
+	at := now.UnixNano() / int64(b.terms.Window/slots)
+	r := b.services[s]
+	if r == nil {
+		r = &ring{at: at}
+		b.services[s] = r
+	}
+	for ; r.at < at; r.at++ {
+		if at-r.at > slots {
+			*r = ring{at: at}
+			break
+		}
+		next := (r.at + 1) % slots
+		r.first[next], r.repeats[next] = 0, 0
+	}
+	return r
+}
--- /dev/null
+++ b/internal/limit/warmup/warmup.go
@@ -0,0 +1,52 @@
+package warmup
+
+import (
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+)
+
+// leastRate is the rate, in requests per second, below which a VM's part of a cold server's rate is not worth having.
+const leastRate = 2.0
+
+// Gate lets requests through to cold servers; the zero value is ready to use. It is driven under its owner's lock.
+type Gate struct {
+	next map[ident.Server]time.Time
+}
+
+// Open reports whether a VM may send to a cold server now. Rate is the server's for the whole fleet, 0 for no bound.
+func (g *Gate) Open(now time.Time, s ident.Server, rate float64, self ident.VM, members []ident.VM) bool {
+	return rate <= 0 || (!now.Before(g.next[s]) && share(s, rate, self, members) > 0)
+}
+
+// Spend counts a request to a cold server.
+func (g *Gate) Spend(now time.Time, s ident.Server, rate float64, self ident.VM, members []ident.VM) {
+	own := share(s, rate, self, members)
+	if own <= 0 {
+		return
+	}
+	if g.next == nil {
+		g.next = make(map[ident.Server]time.Time)
+	}
+	g.next[s] = now.Add(time.Duration(float64(time.Second) / own))
+}
+
+// Forget drops a server that is no longer cold.
+func (g *Gate) Forget(s ident.Server) { delete(g.next, s) }
+
+// share returns the VM's part of a server's rate, in requests per second.
+func share(s ident.Server, rate float64, self ident.VM, members []ident.VM) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	holders := max(1, min(len(members), int(rate/leastRate)))
+	if holders >= len(members) {
+		return rate / float64(max(1, len(members)))
+	}
+	for _, vm := range ident.Rank("cold:"+string(s), members)[:holders] {
+		if vm == self {
+			return rate / float64(holders)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/tier/edge/dispatch.go
@@ -0,0 +1,197 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/setup"
+	"kumquatreel.example/kumquatreel/internal/limit/repeat"
+	"kumquatreel.example/kumquatreel/internal/limit/warmup"
+	"kumquatreel.example/kumquatreel/internal/tier/gather"
+	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/pace"
+	"kumquatreel.example/kumquatreel/internal/tier/place"
+	"kumquatreel.example/kumquatreel/internal/tier/roster"
+	"kumquatreel.example/kumquatreel/internal/tier/table"
+	"kumquatreel.example/kumquatreel/internal/tier/wire"
+)
+
+const (
+	// connectionShare of a server's connections is divided among the VMs.
+	connectionShare = 0.9
+	// connectionsUnknown is taken for a server whose bound was not published.
+	connectionsUnknown = 16
+	// startShare of a route's aim is taken for the usual latency of a part while nothing is known.
+	startShare = 0.15
+	// startUsual is the same for a route without an aim.
+	startUsual = 20 * time.Millisecond
+)
+
+// dispatch holds what decides where requests are sent.
+type dispatch struct {
+	domain ident.Domain
+	self   ident.VM
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	roster  roster.Roster
+	places  place.Places
+	repeats *repeat.Budget
+	gate    warmup.Gate
+	paces   map[ident.Route]*pace.Pace
+	table   *table.Table
+	// vms are the VMs that the fleet's bounds are divided among, this one included.
+	vms []ident.VM
+}
+
+func newDispatch(s setup.Settings, rng *rand.Rand) *dispatch {
+	return &dispatch{
+		domain: s.Domain(), self: s.Name(), rng: rng, paces: make(map[ident.Route]*pace.Pace), vms: []ident.VM{s.Name()},
+		repeats: repeat.New(repeat.Terms{Ratio: s.RepeatRatio(), Slack: s.RepeatSlack(), Window: s.RepeatWindow()}),
+	}
+}
+
+// current returns the table in force, or nil.
+func (d *dispatch) current() *table.Table {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table
+}
+
+// usual returns the usual latency of a route's parts and the one beyond which a part is late.
+func (d *dispatch) usual(r *table.Route) (usual, late time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pace(r)
+	return p.Median(), p.High()
+}
+
+func (d *dispatch) pace(r *table.Route) *pace.Pace {
+	p := d.paces[r.Name()]
+	if p == nil {
+		p = &pace.Pace{}
+		start := startUsual
+		if r.Aim() > 0 {
+			start = time.Duration(startShare * float64(r.Aim()))
+		}
+		p.Start(start)
+		d.paces[r.Name()] = p
+	}
+	return p
+}
+
+// random returns a number in [0,1).
+func (d *dispatch) random() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rng.Float64()
+}
+
+// chooser serves one request.
+type chooser struct {
+	*dispatch
+	usual time.Duration
+}
+
+// Choose implements gather.Chooser.
+func (c chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	usable, spare := c.roster.Candidates(now, service)
+	for _, members := range [][]*roster.Member{usable, spare} {
+		options := c.options(now, members, exclude)
+		if o, ok := c.places.Pick(now, options, c.usual, c.rng); ok {
+			return o.Server, true
+		}
+	}
+	return "", false
+}
+
+// Repeat implements gather.Chooser.
+func (c chooser) Repeat(now time.Time, service ident.Service) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.repeats.Take(now, service, len(c.vms))
+}
+
+func (d *dispatch) options(now time.Time, members []*roster.Member, exclude []ident.Server) []place.Option {
+	out := make([]place.Option, 0, len(members))
+	for _, m := range members {
+		e := m.Entry()
+		cold := m.Cold(now)
+		if slices.Contains(exclude, e.Server) || cold && !d.gate.Open(now, e.Server, d.coldRate(e.Service), d.self, d.vms) {
+			continue
+		}
+		out = append(out, place.Option{Server: e.Server, Slots: e.Slots, Away: e.Domain != d.domain, Cold: cold})
+	}
+	return out
+}
+
+func (d *dispatch) coldRate(s ident.Service) float64 {
+	if d.table == nil {
+		return 0
+	}
+	return d.table.Service(s).ColdPerSecond
+}
+
+// begin records that a request is sent to a server and returns where that is, and false when the server has gone.
+func (d *dispatch) begin(now time.Time, s gather.Send, usual time.Duration) (place.Ticket, wire.Target, int, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.roster.Member(s.Server)
+	if m == nil {
+		return place.Ticket{}, wire.Target{}, 0, false
+	}
+	if m.Cold(now) {
+		d.gate.Spend(now, s.Server, d.coldRate(s.Service), d.self, d.vms)
+	}
+	if s.Attempt == 0 {
+		d.repeats.First(now, s.Service)
+	}
+	most := connectionsUnknown
+	if d.table != nil && d.table.Service(s.Service).MaxConnections > 0 {
+		most = d.table.Service(s.Service).MaxConnections
+	}
+	share := int(connectionShare * float64(most) / float64(len(d.vms)))
+	return d.places.Sent(now, s.Server, usual), wire.Target{Server: s.Server, Address: m.Entry().Address}, max(1, share), true
+}
+
+// end records how a request to a server ended.
+func (d *dispatch) end(now time.Time, r *table.Route, t place.Ticket, server ident.Server, res link.Result, names wire.Names, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var load *wire.Load
+	if res.Answer != nil {
+		if l, ok := wire.ParseLoad(res.Answer.Header.Get(names.Load)); ok {
+			load = &l
+		}
+	}
+	switch res.Verdict {
+	case gather.VerdictAnswered:
+		d.pace(r).Observe(took)
+		d.places.Answered(now, t, load)
+	case gather.VerdictRefused:
+		d.places.Refused(now, t, load)
+	case gather.VerdictMisplaced:
+		d.places.Dropped(t)
+		d.roster.Wrong(server)
+	case gather.VerdictUnsent, gather.VerdictLost:
+		if res.Silent {
+			d.places.Unreachable(now, t)
+		} else {
+			d.places.Failed(now, t)
+		}
+	case gather.VerdictFailed:
+		d.places.Failed(now, t)
+	}
+}
+
+// dropped records that a request was taken back.
+func (d *dispatch) dropped(t place.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.places.Dropped(t)
+}
--- /dev/null
+++ b/internal/tier/edge/edge.go
@@ -0,0 +1,264 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/setup"
+	"kumquatreel.example/kumquatreel/internal/limit/quota"
+	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/logs"
+	"kumquatreel.example/kumquatreel/internal/tier/mirror"
+	"kumquatreel.example/kumquatreel/internal/tier/peers"
+	"kumquatreel.example/kumquatreel/internal/tier/source"
+	"kumquatreel.example/kumquatreel/internal/tier/wire"
+)
+
+const (
+	// keepFor is how long callers keep a directory answer; some keep it three times as long.
+	keepFor = time.Second
+	// lingerAnswers times the keep, a leaving VM goes on serving callers that have not heard of it.
+	lingerAnswers = 3.3
+	// endMargin is kept of the grace for the last requests and the last word to the fleet.
+	endMargin = 700 * time.Millisecond
+	// headerLimit bounds the time to read a request's headers until limits are known.
+	headerLimit = 10 * time.Second
+	// idleLimit is how long an idle connection of a caller stays open; published limits are below it.
+	idleLimit = 2 * time.Minute
+	// settleTime is how long a new VM listens to others before it serves.
+	settleTime = 450 * time.Millisecond
+	// readyCheck is how often a starting VM looks whether it can serve.
+	readyCheck = 20 * time.Millisecond
+	// settingsCheck is how often the settings file is looked at for changes that no signal tells of.
+	settingsCheck = 2 * time.Second
+	// housekeeping is how often connections to servers that are gone are closed.
+	housekeeping = time.Second
+)
+
+// Edge is the process of one VM.
+type Edge struct {
+	settings atomic.Pointer[setup.Settings]
+	path     string
+	names    wire.Names
+	store    source.Store
+	decode   source.Decode
+	log      *logs.Log
+	metrics  *meter
+	boot     int64
+	started  time.Time
+
+	dispatch *dispatch
+	links    *link.Links
+	fleet    *fleet
+
+	mirrorMu sync.Mutex
+	mirror   mirror.Mirror
+
+	quotaMu sync.Mutex
+	quota   *quota.Quota
+
+	ready   atomic.Bool
+	leaving atomic.Bool
+	ended   atomic.Bool
+	reading atomic.Bool
+	busy    atomic.Int64
+
+	servers  []*http.Server
+	cleanups []func()
+}
+
+// Options are what an Edge needs besides its settings.
+type Options struct {
+	// Path is the file that the settings came from, empty when there is none.
+	Path   string
+	Names  wire.Names
+	Store  source.Store
+	Decode source.Decode
+	Log    *logs.Log
+	// Seed makes the process's random choices.
+	Seed [32]byte
+}
+
+// New starts the process of a VM and returns a function that ends it at once.
+func New(settings setup.Settings, opts Options) (*Edge, func(), error) {
+	rng := rand.New(rand.NewChaCha8(opts.Seed))
+	now := time.Now()
+	e := &Edge{
+		path: opts.Path, names: opts.Names, store: opts.Store, decode: opts.Decode, log: opts.Log, metrics: newMeter(),
+		boot: now.UnixMicro(), started: now, dispatch: newDispatch(settings, fork(rng)), quota: quota.New(now),
+		fleet: &fleet{
+			peers: peers.New(settings.Name()), rng: fork(rng),
+			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
+		},
+	}
+	e.settings.Store(&settings)
+	links, closeLinks := link.New(opts.Names)
+	e.links = links
+	e.cleanups = append(e.cleanups, closeLinks)
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cleanups = append(e.cleanups, cancel)
+	if err := e.start(ctx, settings); err != nil {
+		e.kill()
+		return nil, nil, errors.Errorf("start VM %s: %w", settings.Name(), err)
+	}
+	e.log.Info(partProcess, "started", "vm", settings.Name(), "domain", settings.Domain(), "callers", settings.Callers(),
+		"store", settings.Store(), "seeds", settings.Seeds(), "boot", e.boot)
+	return e, e.kill, nil
+}
+
+func (e *Edge) start(ctx context.Context, s setup.Settings) error {
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(s.Address()), Port: s.GossipPort()})
+	if err != nil {
+		return errors.Errorf("listen for heartbeats: %w", err)
+	}
+	e.fleet.conn = udp
+	e.cleanups = append(e.cleanups, func() { _ = udp.Close() })
+	ready, directory, control, metrics := http.NewServeMux(), http.NewServeMux(), http.NewServeMux(), http.NewServeMux()
+	ready.HandleFunc("GET "+e.names.ReadyPath, e.serveReady)
+	directory.HandleFunc("GET "+e.names.DirectoryPath, e.serveDirectory)
+	control.HandleFunc("GET "+newsPath, e.serveNews)
+	metrics.Handle("GET /metrics", e.metrics.handler())
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{s.Ready(), ready},
+		{s.Directory(), directory},
+		{s.Peers(), control},
+		{s.Metrics(), metrics},
+		// Paths of callers are passed on as they are, so no mux may clean them.
+		{s.Callers(), http.HandlerFunc(e.serveCaller)},
+	} {
+		if err := e.serve(ctx, l.address, l.handler); err != nil {
+			return err
+		}
+	}
+	go e.hear()
+	go e.join(ctx)
+	go e.gossip(ctx)
+	go e.read(ctx)
+	go e.becomeReady(ctx)
+	go e.keepHouse(ctx)
+	go e.watchSettings(ctx)
+	return nil
+}
+
+func (e *Edge) serve(ctx context.Context, address string, h http.Handler) error {
+	l, err := listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, ErrorLog: nil}
+	e.servers = append(e.servers, srv)
+	e.cleanups = append(e.cleanups, func() { _ = srv.Close() })
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			e.log.Error(partProcess, "listener failed", "address", address, "error", err.Error())
+		}
+	}()
+	return nil
+}
+
+// join asks the seeds for answers until some VM is known.
+func (e *Edge) join(ctx context.Context) {
+	for ctx.Err() == nil && !e.ready.Load() {
+		e.tell(true)
+		clock.Sleep(ctx, gossipPeriod/4)
+	}
+}
+
+// becomeReady waits until a configuration is in force and the other VMs have been heard.
+func (e *Edge) becomeReady(ctx context.Context) {
+	for ctx.Err() == nil {
+		if e.dispatch.current() != nil && time.Since(e.started) >= settleTime {
+			e.ready.Store(true)
+			e.tell(false)
+			e.log.Info(partProcess, "ready", "afterMs", ms(time.Since(e.started)), "revision", e.revision())
+			return
+		}
+		clock.Sleep(ctx, readyCheck)
+	}
+}
+
+func (e *Edge) keepHouse(ctx context.Context) {
+	for clock.Sleep(ctx, housekeeping) {
+		e.links.Retain(func(s ident.Server) bool {
+			e.dispatch.mu.Lock()
+			defer e.dispatch.mu.Unlock()
+			return e.dispatch.roster.Member(s) != nil
+		})
+	}
+}
+
+func (e *Edge) watchSettings(ctx context.Context) {
+	if e.path == "" {
+		return
+	}
+	var last time.Time
+	if st, err := os.Stat(e.path); err == nil {
+		last = st.ModTime()
+	}
+	for clock.Sleep(ctx, settingsCheck) {
+		st, err := os.Stat(e.path)
+		if err != nil || st.ModTime().Equal(last) {
+			continue
+		}
+		last = st.ModTime()
+		e.Reload("the file has changed")
+	}
+}
+
+// Reload takes the settings file again; what cannot change in a running process stays as it is.
+func (e *Edge) Reload(reason string) {
+	s, err := setup.Load(e.path)
+	if err != nil {
+		e.log.Error(partProcess, "settings kept, the file is not sound", "error", err.Error())
+		return
+	}
+	old := e.settings.Load()
+	if s.Name() != old.Name() || s.Address() != old.Address() || s.Callers() != old.Callers() {
+		e.log.Error(partProcess, "settings kept, the file is another VM's", "vm", s.Name(), "address", s.Address())
+		return
+	}
+	e.settings.Store(&s)
+	e.log.Info(partProcess, "settings reloaded", "reason", reason, "seeds", s.Seeds())
+}
+
+// Shutdown stops serving without cutting a request: callers are told to go elsewhere first.
+func (e *Edge) Shutdown(grace time.Duration) {
+	began := time.Now()
+	e.leaving.Store(true)
+	e.log.Info(partProcess, "leaving", "graceMs", ms(grace), "requests", e.busy.Load())
+	e.tell(false)
+	linger := time.Duration(lingerAnswers * float64(e.keep()))
+	time.Sleep(max(0, min(linger, grace-3*endMargin)))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-endMargin))
+	defer cancel()
+	callers := e.servers[len(e.servers)-1]
+	err := callers.Shutdown(ctx)
+	e.ended.Store(true)
+	e.tell(false)
+	fields := []any{"afterMs", ms(time.Since(began)), "requests", e.busy.Load()}
+	if err != nil {
+		fields = append(fields, "error", err.Error())
+	}
+	e.log.Info(partProcess, "stopped", fields...)
+}
+
+func (e *Edge) kill() {
+	for i := len(e.cleanups) - 1; i >= 0; i-- {
+		e.cleanups[i]()
+	}
+}
+
+func fork(rng *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())) }
--- /dev/null
+++ b/internal/tier/edge/fleet.go
@@ -0,0 +1,357 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/mirror"
+	"kumquatreel.example/kumquatreel/internal/tier/peers"
+)
+
+const (
+	// gossipPeriod is the time between heartbeats.
+	gossipPeriod = 200 * time.Millisecond
+	// gossipAll is the largest fleet in which each VM tells all others; in larger ones it tells a few each time.
+	gossipAll = 12
+	// gossipFew is how many are told each time in a larger fleet.
+	gossipFew = 6
+	// knownMost bounds the addresses told in a heartbeat.
+	knownMost = 8
+	// datagramMost is the largest heartbeat in bytes.
+	datagramMost = 32 << 10
+	// teamsWithin is how long after its last request a team is told of.
+	teamsWithin = 2 * time.Second
+	// newsLimit bounds the time to fetch news from another VM.
+	newsLimit = time.Second
+	// newsMost bounds the news in bytes.
+	newsMost = 64 << 20
+	// newsPath is where VMs ask each other for news.
+	newsPath = "/news"
+)
+
+// fleet is what a VM knows of the others and how it talks to them.
+type fleet struct {
+	mu     sync.Mutex
+	peers  *peers.Peers
+	serial int64
+	rng    *rand.Rand
+	conn   *net.UDPConn
+	client *http.Client
+	// fetching is set while news is being fetched from another VM.
+	fetching bool
+}
+
+// news is what one VM tells another of the store.
+type news struct {
+	// Whole says that the items are all there are, not only changes.
+	Whole bool          `json:"whole"`
+	AsOf  int64         `json:"asOf"`
+	Items []mirror.Item `json:"items"`
+}
+
+func (e *Edge) gossip(ctx context.Context) {
+	for clock.Sleep(ctx, gossipPeriod) {
+		e.tickFleet()
+		e.tell(false)
+	}
+}
+
+// tickFleet notices who has fallen silent and who shares the fleet's bounds.
+func (e *Edge) tickFleet() {
+	now := time.Now()
+	e.fleet.mu.Lock()
+	events := e.fleet.peers.Tick(now)
+	names := e.fleet.peers.Names()
+	alive := len(e.fleet.peers.Alive(now))
+	e.fleet.mu.Unlock()
+	e.noteMembers(events)
+	e.dispatch.mu.Lock()
+	e.dispatch.vms = names
+	gone := e.dispatch.roster.Sweep(now)
+	e.dispatch.mu.Unlock()
+	for _, s := range gone {
+		e.log.Info(partServers, "server gone", "server", s, "reason", "its entry has not come back")
+	}
+	e.metrics.members.Set(float64(alive + 1))
+}
+
+func (e *Edge) noteMembers(events []peers.Event) {
+	for _, ev := range events {
+		switch ev := ev.(type) {
+		case peers.Joined:
+			e.log.Info(partFleet, "VM joined", describe(ev.Member)...)
+		case peers.Back:
+			e.log.Info(partFleet, "VM is heard from again", describe(ev.Member)...)
+		case peers.Silent:
+			e.log.Warn(partFleet, "VM is silent", append(describe(ev.Member), "agoMs", ms(time.Since(ev.Member.Heard())))...)
+		case peers.Changed:
+			e.log.Info(partFleet, "VM is in another phase", append(describe(ev.Member), "before", ev.Before.String())...)
+			if ev.Member.Digest().Phase == peers.PhaseGone {
+				e.quotaMu.Lock()
+				e.quota.Left(ev.Member.Digest().Process())
+				e.quotaMu.Unlock()
+			}
+		}
+	}
+}
+
+func describe(m peers.Member) []any {
+	d := m.Digest()
+	return []any{"vm", d.VM, "phase", d.Phase.String(), "revision", d.Revision, "reading", d.Reading}
+}
+
+func (e *Edge) digest(now time.Time) peers.Digest {
+	e.quotaMu.Lock()
+	teams := e.quota.Reports(now, teamsWithin)
+	e.quotaMu.Unlock()
+	phase := peers.PhaseStarting
+	switch {
+	case e.ended.Load():
+		phase = peers.PhaseGone
+	case e.leaving.Load():
+		phase = peers.PhaseLeaving
+	case e.ready.Load():
+		phase = peers.PhaseReady
+	}
+	s := e.settings.Load()
+	return peers.Digest{
+		VM: s.Name(), Address: s.Address(), Domain: s.Domain(), Region: s.Region(), Boot: e.boot, Phase: phase,
+		Power: s.CPUShare(), Revision: e.revision(), Reading: e.reading.Load(), Teams: teams,
+	}
+}
+
+// tell sends a heartbeat to other VMs; with reply set it asks them to answer at once.
+func (e *Edge) tell(reply bool) {
+	now := time.Now()
+	m := peers.Message{From: e.digest(now), Reply: reply}
+	f := e.fleet
+	f.mu.Lock()
+	f.serial++
+	m.From.Serial = f.serial
+	all := f.peers.Addresses()
+	f.mu.Unlock()
+	targets := e.targets(all)
+	m.Known = e.sample(all, knownMost)
+	for _, to := range targets {
+		e.post(m, to)
+	}
+}
+
+// targets returns the addresses to send to: all in a small fleet, a few in a large one, and seeds until others are known.
+func (e *Edge) targets(all []string) []string {
+	s := e.settings.Load()
+	out := slices.Clone(all)
+	if len(out) > gossipAll && !e.leaving.Load() {
+		out = e.sample(out, gossipFew)
+	}
+	if len(all) < len(s.Seeds()) || e.fleet.random() < seedShare {
+		for _, seed := range s.Seeds() {
+			if host, _, err := net.SplitHostPort(seed); err == nil {
+				out = append(out, host)
+			}
+		}
+	}
+	slices.Sort(out)
+	out = slices.Compact(out)
+	return slices.DeleteFunc(out, func(a string) bool { return a == s.Address() })
+}
+
+// seedShare of the heartbeats go to the seeds too, so that parts of a fleet that lost each other meet again.
+const seedShare = 0.1
+
+func (f *fleet) random() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Float64()
+}
+
+func (e *Edge) sample(all []string, most int) []string {
+	out := slices.Clone(all)
+	if len(out) <= most {
+		return out
+	}
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.fleet.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:most]
+}
+
+func (e *Edge) post(m peers.Message, host string) {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		e.log.Error(partFleet, "heartbeat cannot be encoded", "error", err.Error())
+		return
+	}
+	ip := net.ParseIP(host)
+	if ip == nil {
+		return
+	}
+	if _, err := e.fleet.conn.WriteToUDP(raw, &net.UDPAddr{IP: ip, Port: e.settings.Load().GossipPort()}); err != nil {
+		e.log.Warn(partFleet, "heartbeat cannot be sent", "to", host, "error", err.Error())
+	}
+}
+
+// hear takes heartbeats until the socket is closed.
+func (e *Edge) hear() {
+	buf := make([]byte, datagramMost)
+	for {
+		n, from, err := e.fleet.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			e.log.Warn(partFleet, "heartbeat cannot be read", "error", err.Error())
+			continue
+		}
+		var m peers.Message
+		if err := json.Unmarshal(buf[:n], &m); err != nil {
+			e.log.Warn(partFleet, "heartbeat is malformed", "from", from.String(), "error", err.Error())
+			continue
+		}
+		e.heard(m)
+	}
+}
+
+func (e *Edge) heard(m peers.Message) {
+	now := time.Now()
+	e.fleet.mu.Lock()
+	events, fresh := e.fleet.peers.Heard(now, m)
+	e.fleet.mu.Unlock()
+	if !fresh {
+		return
+	}
+	e.quotaMu.Lock()
+	e.quota.Heard(now, m.From.Process(), m.From.Teams)
+	e.quotaMu.Unlock()
+	e.noteMembers(events)
+	if m.Reply {
+		e.post(e.message(now), m.From.Address)
+	}
+	if m.From.Revision > e.revision() {
+		e.fetchSoon(m.From)
+	}
+}
+
+func (e *Edge) message(now time.Time) peers.Message {
+	m := peers.Message{From: e.digest(now)}
+	e.fleet.mu.Lock()
+	e.fleet.serial++
+	m.From.Serial = e.fleet.serial
+	all := e.fleet.peers.Addresses()
+	e.fleet.mu.Unlock()
+	m.Known = e.sample(all, knownMost)
+	return m
+}
+
+// fetchSoon fetches news from a VM that has more, unless that is going on.
+func (e *Edge) fetchSoon(from peers.Digest) {
+	e.fleet.mu.Lock()
+	busy := e.fleet.fetching
+	e.fleet.fetching = true
+	e.fleet.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		err := e.fetch(from)
+		e.fleet.mu.Lock()
+		e.fleet.fetching = false
+		e.fleet.mu.Unlock()
+		if err != nil {
+			e.log.Warn(partFleet, "news cannot be fetched", "from", from.VM, "error", err.Error())
+		}
+	}()
+}
+
+func (e *Edge) fetch(from peers.Digest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), newsLimit)
+	defer cancel()
+	since := e.revision()
+	_, port, err := net.SplitHostPort(e.settings.Load().Peers())
+	if err != nil {
+		return errors.Errorf("own address for VMs: %w", err)
+	}
+	u := url.URL{
+		Scheme: "http", Host: net.JoinHostPort(from.Address, port), Path: newsPath,
+		RawQuery: "since=" + strconv.FormatInt(since, 10),
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return errors.Errorf("build call: %w", err)
+	}
+	resp, err := e.fleet.client.Do(req)
+	if err != nil {
+		return errors.Errorf("ask %s for news: %w", from.VM, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("%s answers with status %d", from.VM, resp.StatusCode)
+	}
+	var n news
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, newsMost)).Decode(&n); err != nil {
+		return errors.Errorf("decode news of %s: %w", from.VM, err)
+	}
+	e.take(n.Items, since, n.AsOf, n.Whole, string(from.VM))
+	return nil
+}
+
+// serveNews tells another VM what is new since a revision.
+func (e *Edge) serveNews(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		http.Error(w, "since is not a number", http.StatusBadRequest)
+		return
+	}
+	e.mirrorMu.Lock()
+	n := news{AsOf: e.mirror.AsOf()}
+	if since < e.mirror.Floor() {
+		since, n.Whole = 0, true
+	}
+	n.Items = e.mirror.Since(since)
+	e.mirrorMu.Unlock()
+	if n.Whole {
+		n.Items = slices.DeleteFunc(n.Items, func(it mirror.Item) bool { return it.Removed })
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n); err != nil {
+		e.log.Warn(partFleet, "news cannot be told", "error", err.Error())
+	}
+}
+
+// directory returns the addresses that a caller in a failure domain should use.
+func (e *Edge) directory(domain ident.Domain, region string) []string {
+	now := time.Now()
+	s := e.settings.Load()
+	e.fleet.mu.Lock()
+	alive := e.fleet.peers.Alive(now)
+	e.fleet.mu.Unlock()
+	_, port, err := net.SplitHostPort(s.Callers())
+	if err != nil {
+		return nil
+	}
+	var out []string
+	if e.ready.Load() && !e.leaving.Load() {
+		out = append(out, s.Callers())
+	}
+	for _, m := range alive {
+		if d := m.Digest(); d.Phase == peers.PhaseReady {
+			out = append(out, net.JoinHostPort(d.Address, port))
+		}
+	}
+	return out
+}
+
+// keep returns how long a caller may keep a directory answer.
+func (e *Edge) keep() time.Duration { return min(keepFor, e.settings.Load().KeepMost()) }
--- /dev/null
+++ b/internal/tier/edge/meter.go
@@ -0,0 +1,81 @@
+package edge
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// meter counts what happens to requests.
+type meter struct {
+	registry *prometheus.Registry
+	latency  *prometheus.HistogramVec
+	coverage *prometheus.HistogramVec
+	failed   *prometheus.CounterVec
+	left     *prometheus.CounterVec
+	version  prometheus.Gauge
+	members  prometheus.Gauge
+	reads    *prometheus.CounterVec
+}
+
+func newMeter() *meter {
+	m := &meter{
+		registry: prometheus.NewRegistry(),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "kumquatreel_edge_request_seconds", Help: "Time from arrival to answer.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 1.6, 16),
+		}, []string{"team", "route"}),
+		coverage: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "kumquatreel_edge_coverage_fraction", Help: "Share of the shards in an answer.",
+			Buckets: []float64{0.5, 0.8, 0.9, 0.95, 0.99, 0.9999, 1},
+		}, []string{"route"}),
+		failed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatreel_edge_not_answered_total", Help: "Requests that did not succeed, by status.",
+		}, []string{"team", "route", "status"}),
+		left: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatreel_edge_callers_left_total", Help: "Requests whose caller left before the answer.",
+		}, []string{"route"}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "kumquatreel_edge_configuration_version", Help: "Version of the configuration in force.",
+		}),
+		members: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "kumquatreel_edge_members", Help: "VMs that count as alive, this one included.",
+		}),
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatreel_edge_store_calls_total", Help: "Calls to the platform's store.",
+		}, []string{"result"}),
+	}
+	m.registry.MustRegister(m.latency, m.coverage, m.failed, m.left, m.version, m.members, m.reads)
+	return m
+}
+
+func (m *meter) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *meter) answered(rq *request, took time.Duration, coverage float64) {
+	m.latency.WithLabelValues(string(rq.team), string(rq.route.Name())).Observe(took.Seconds())
+	m.coverage.WithLabelValues(string(rq.route.Name())).Observe(coverage)
+}
+
+func (m *meter) refused(rq *request, status int, took time.Duration) {
+	route := ""
+	if rq.route != nil {
+		route = string(rq.route.Name())
+		m.latency.WithLabelValues(string(rq.team), route).Observe(took.Seconds())
+	}
+	m.failed.WithLabelValues(string(rq.team), route, strconv.Itoa(status)).Inc()
+}
+
+func (m *meter) gone(rq *request) { m.left.WithLabelValues(string(rq.route.Name())).Inc() }
+
+func (m *meter) read(err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.reads.WithLabelValues(result).Inc()
+}
--- /dev/null
+++ b/internal/tier/edge/read.go
@@ -0,0 +1,205 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/limit/quota"
+	"kumquatreel.example/kumquatreel/internal/tier/mirror"
+	"kumquatreel.example/kumquatreel/internal/tier/peers"
+	"kumquatreel.example/kumquatreel/internal/tier/source"
+	"kumquatreel.example/kumquatreel/internal/tier/table"
+)
+
+const (
+	// readers is how many VMs of the fleet watch the store; the others hear from them.
+	readers = 3
+	// watchWait is how long a watch waits for changes; a reader that hears nothing for a little longer counts as cut off.
+	watchWait = 3 * time.Second
+	// watchSlack is the time a watch may take beyond its wait.
+	watchSlack = 600 * time.Millisecond
+	// watchPause gathers changes that come in quick succession into one call.
+	watchPause = 120 * time.Millisecond
+	// readLimit bounds the time to read everything.
+	readLimit = 2 * time.Second
+	// retryPause is the time between calls that fail.
+	retryPause = 250 * time.Millisecond
+	// idleCheck is how often a VM that does not read looks whether it should.
+	idleCheck = 200 * time.Millisecond
+	// joinWait is how long a new VM waits to hear news from others before it reads the store itself.
+	joinWait = 250 * time.Millisecond
+)
+
+// read keeps the mirror up to date: from the store where it is this VM's turn, else from other VMs.
+func (e *Edge) read(ctx context.Context) {
+	clock.Sleep(ctx, joinWait)
+	for ctx.Err() == nil {
+		if e.revision() > 0 && !e.myTurn(time.Now()) {
+			e.setReading(false, nil)
+			clock.Sleep(ctx, idleCheck)
+			continue
+		}
+		err := e.readOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		e.setReading(err == nil, err)
+		if err != nil {
+			clock.Sleep(ctx, retryPause)
+		}
+	}
+}
+
+// readOnce reads everything if nothing is known yet, and else waits for one batch of changes.
+func (e *Edge) readOnce(ctx context.Context) error {
+	since := e.revision()
+	if since == 0 {
+		return e.readAll(ctx)
+	}
+	wctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	items, asOf, err := e.store.Watch(wctx, since, watchWait)
+	e.metrics.read(err)
+	if errors.Is(err, source.ErrHistoryGone) {
+		e.log.Warn(partStore, "history is gone, everything is read again", "since", since)
+		return e.readAll(ctx)
+	}
+	if err != nil {
+		return errors.Errorf("watch: %w", err)
+	}
+	e.take(items, since, asOf, false, "store")
+	if len(items) > 0 {
+		clock.Sleep(ctx, watchPause)
+	}
+	return nil
+}
+
+func (e *Edge) readAll(ctx context.Context) error {
+	rctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	items, asOf, err := e.store.Read(rctx)
+	e.metrics.read(err)
+	if err != nil {
+		return errors.Errorf("read all: %w", err)
+	}
+	e.take(items, 0, asOf, true, "store")
+	return nil
+}
+
+// myTurn reports whether this VM should watch the store: it is among the first by rank of those that live, or nobody is watching.
+func (e *Edge) myTurn(now time.Time) bool {
+	self := e.settings.Load().Name()
+	names := []ident.VM{self}
+	watching := false
+	e.fleet.mu.Lock()
+	for _, m := range e.fleet.peers.Alive(now) {
+		d := m.Digest()
+		if d.Phase != peers.PhaseLeaving {
+			names = append(names, d.VM)
+		}
+		watching = watching || d.Reading
+	}
+	e.fleet.mu.Unlock()
+	ranked := ident.Rank("reader", names)
+	return !watching || slices.Contains(ranked[:min(readers, len(ranked))], self)
+}
+
+func (e *Edge) setReading(reading bool, err error) {
+	if e.reading.Swap(reading) == reading {
+		return
+	}
+	switch {
+	case err != nil:
+		e.log.Warn(partStore, "store lost", "error", err.Error(), "revision", e.revision())
+	case reading:
+		e.log.Info(partStore, "watching the store", "revision", e.revision())
+	default:
+		e.log.Info(partStore, "other VMs watch the store", "revision", e.revision())
+	}
+}
+
+func (e *Edge) revision() int64 {
+	e.mirrorMu.Lock()
+	defer e.mirrorMu.Unlock()
+	return e.mirror.AsOf()
+}
+
+// take merges items into the mirror and carries out what is new. The lock is held throughout, so that changes are carried out in order.
+func (e *Edge) take(items []mirror.Item, since, asOf int64, whole bool, from string) {
+	e.mirrorMu.Lock()
+	defer e.mirrorMu.Unlock()
+	var fresh []mirror.Item
+	if whole {
+		fresh = e.mirror.Replace("", items, asOf)
+	} else {
+		fresh = e.mirror.Merge(items, since, asOf)
+	}
+	now := time.Now()
+	for _, it := range fresh {
+		ev, err := e.decode(it)
+		if err != nil {
+			e.log.Warn(partStore, "item ignored", "key", it.Key, "revision", it.Revision, "error", err.Error())
+		}
+		e.apply(now, ev, it.Revision, from)
+	}
+}
+
+func (e *Edge) apply(now time.Time, ev source.Event, revision int64, from string) {
+	d := e.dispatch
+	switch ev := ev.(type) {
+	case source.TablePublished:
+		e.adopt(now, table.New(ev.Text), revision, from)
+	case source.ServerSeen:
+		d.mu.Lock()
+		fresh := d.roster.Seen(now, ev.Entry)
+		if fresh {
+			d.places.Forget(ev.Entry.Server)
+			d.gate.Forget(ev.Entry.Server)
+		}
+		d.mu.Unlock()
+		e.log.Info(partServers, "server seen", "server", ev.Entry.Server, "service", ev.Entry.Service, "new", fresh,
+			"leaving", ev.Entry.Leaving, "coldMs", ms(ev.Entry.ColdFor), "revision", revision, "from", from)
+	case source.ServerGone:
+		d.mu.Lock()
+		known := d.roster.Member(ev.Server) != nil
+		d.roster.Gone(now, ev.Server)
+		d.mu.Unlock()
+		if known {
+			e.log.Info(partServers, "server's entry removed", "server", ev.Server, "revision", revision, "from", from)
+		}
+	case source.DomainOut:
+		e.setDomain(ev.Domain, true, revision)
+	case source.DomainIn:
+		e.setDomain(ev.Domain, false, revision)
+	case source.Ignored:
+	}
+}
+
+func (e *Edge) setDomain(domain ident.Domain, out bool, revision int64) {
+	e.dispatch.mu.Lock()
+	changed := e.dispatch.roster.SetOut(domain, out)
+	e.dispatch.mu.Unlock()
+	if changed {
+		e.log.Info(partServers, "failure domain changed", "domain", domain, "out", out, "revision", revision)
+	}
+}
+
+func (e *Edge) adopt(now time.Time, t *table.Table, revision int64, from string) {
+	limits := make(map[ident.Team]quota.Limit)
+	for _, team := range t.Teams() {
+		limits[team.Name] = quota.Limit{Rate: team.Rate, Burst: team.Burst}
+	}
+	e.quotaMu.Lock()
+	e.quota.SetLimits(now, limits)
+	e.quotaMu.Unlock()
+	e.dispatch.mu.Lock()
+	e.dispatch.table = t
+	e.dispatch.mu.Unlock()
+	e.metrics.version.Set(float64(t.Version()))
+	e.log.Info(partStore, "configuration in force", "version", t.Version(), "revision", revision, "from", from)
+}
--- /dev/null
+++ b/internal/tier/edge/request.go
@@ -0,0 +1,217 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/gather"
+	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/table"
+)
+
+const (
+	// travel is the time that an answer takes to its caller, and a request took to get here, each.
+	travel = 4 * time.Millisecond
+	// mergeTime is left for merging and writing an answer over shards.
+	mergeTime = 2 * time.Millisecond
+	// lingerAims times the aim after an answer was due, parts that are still open are stopped.
+	lingerAims = 1.0
+)
+
+// request is one attempt of a caller on its way through the edge.
+type request struct {
+	id      string
+	route   *table.Route
+	team    ident.Team
+	method  string
+	head    []byte
+	body    []byte
+	arrived time.Time
+	version int64
+	// soft is when the answer should be on its way to be in time, hard when the request ends.
+	soft, hard time.Time
+}
+
+// outcome is how a request ended.
+type outcome struct {
+	reason  gather.Reason
+	gone    bool
+	enough  bool
+	ran     bool
+	parts   []*link.Answer
+	missing []ident.Service
+	// last is the last answer of a server that failed.
+	last    *link.Answer
+	sends   int
+	hedges  int
+	refused int
+}
+
+type finished struct {
+	send gather.Send
+	res  link.Result
+}
+
+// run drives a request to its end.
+func (e *Edge) run(ctx context.Context, rq *request) outcome {
+	usual, late := e.dispatch.usual(rq.route)
+	shards := rq.route.Shards()
+	spec := gather.Spec{
+		Shards: shards, Attempts: rq.route.MaxAttempts(), Idempotent: rq.route.Kind() == table.KindIdempotent,
+		MinCoverage: rq.route.MinCoverage(), Soft: rq.soft, Hard: rq.hard, Usual: usual, Late: late,
+	}
+	if len(shards) == 0 {
+		spec.Shards = []ident.Service{rq.route.Choose(e.dispatch.random())}
+		spec.MinCoverage = 1
+	}
+	j := &job{edge: e, rq: rq, state: gather.New(spec), chooser: chooser{e.dispatch, usual}, usual: usual}
+	return j.run(ctx, len(spec.Shards))
+}
+
+// job is the I/O side of one request.
+type job struct {
+	edge    *Edge
+	rq      *request
+	state   *gather.State
+	chooser chooser
+	usual   time.Duration
+	results chan finished
+	// attempts ends when the caller has gone; open counts the attempts that have not ended.
+	attempts context.Context
+	cancel   context.CancelFunc
+	open     sync.WaitGroup
+	out      outcome
+}
+
+func (j *job) run(ctx context.Context, shards int) outcome {
+	// Each part has few attempts, and none of them may be held up by a job that has ended.
+	j.results = make(chan finished, shards*attemptsHeld)
+	j.attempts, j.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	j.out.parts = make([]*link.Answer, shards)
+	j.send(j.state.Start(time.Now(), j.chooser))
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		next, more := j.state.Next(time.Now())
+		if !more {
+			return j.finish()
+		}
+		timer.Reset(time.Until(next))
+		select {
+		case f := <-j.results:
+			j.take(f)
+		case <-timer.C:
+			j.send(j.state.Tick(time.Now(), j.chooser))
+		case <-ctx.Done():
+			j.cancel()
+			j.out.gone = true
+			return j.finish()
+		}
+	}
+}
+
+// attemptsHeld is how many attempts at a part can end unheard; package gather makes fewer.
+const attemptsHeld = 8
+
+func (j *job) finish() outcome {
+	go func() {
+		j.open.Wait()
+		j.cancel()
+	}()
+	j.out.reason, _ = j.state.Done()
+	j.out.enough = j.state.Enough()
+	j.out.ran = j.state.Ran()
+	j.out.missing = j.state.Missing()
+	return j.out
+}
+
+func (j *job) send(sends []gather.Send) {
+	for _, s := range sends {
+		j.out.sends++
+		if s.Hedge {
+			j.out.hedges++
+		}
+		j.open.Add(1)
+		go j.attempt(s)
+	}
+}
+
+func (j *job) take(f finished) {
+	now := time.Now()
+	if f.res.Answer != nil {
+		if f.res.Verdict == gather.VerdictAnswered && !j.state.Answered(f.send.Shard) {
+			j.out.parts[f.send.Shard] = f.res.Answer
+		}
+		if f.res.Verdict == gather.VerdictFailed {
+			j.out.last = f.res.Answer
+		}
+	}
+	if f.res.Verdict == gather.VerdictRefused {
+		j.out.refused++
+	}
+	j.send(j.state.Ended(now, gather.Ended{Shard: f.send.Shard, Attempt: f.send.Attempt, Verdict: f.res.Verdict}, j.chooser))
+}
+
+func (j *job) attempt(s gather.Send) {
+	defer j.open.Done()
+	e := j.edge
+	began := time.Now()
+	ticket, target, connections, ok := e.dispatch.begin(began, s, j.usual)
+	if !ok {
+		j.results <- finished{s, link.Result{Verdict: gather.VerdictUnsent}}
+		return
+	}
+	res := e.links.Do(j.attempts, link.Call{
+		Target: target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
+		Expires: j.expires(), Connections: connections,
+	})
+	now := time.Now()
+	if j.attempts.Err() != nil {
+		e.dispatch.dropped(ticket)
+	} else {
+		e.dispatch.end(now, j.rq.route, ticket, s.Server, res, e.names, now.Sub(began))
+		e.logAttempt(j.rq, s, res, now.Sub(began))
+	}
+	j.results <- finished{s, res}
+}
+
+// expires returns when a server is to stop work: a part that comes long after the answer is of no use.
+func (j *job) expires() time.Time {
+	if len(j.out.parts) == 1 || j.rq.route.Aim() <= 0 {
+		return j.rq.hard
+	}
+	limit := j.rq.soft.Add(time.Duration(lingerAims * float64(j.rq.route.Aim())))
+	if limit.Before(j.rq.hard) {
+		return limit
+	}
+	return j.rq.hard
+}
+
+func (e *Edge) logAttempt(rq *request, s gather.Send, res link.Result, took time.Duration) {
+	if res.Verdict == gather.VerdictAnswered {
+		if s.Attempt > 0 {
+			e.log.Info(partRequest, "part answered by a second server", "id", rq.id, "service", s.Service, "server", s.Server, "ms", ms(took))
+		}
+		return
+	}
+	fields := []any{
+		"id", rq.id, "service", s.Service, "server", s.Server, "attempt", s.Attempt,
+		"verdict", res.Verdict.String(), "ms", ms(took),
+	}
+	if res.Answer != nil {
+		fields = append(fields, "status", res.Answer.Status)
+	}
+	if res.Err != nil {
+		fields = append(fields, "error", res.Err.Error())
+	}
+	e.log.Warn(partRequest, "part not answered", fields...)
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
+
+func hasBody(r *http.Request) bool { return r.ContentLength != 0 || len(r.TransferEncoding) > 0 }
--- /dev/null
+++ b/internal/tier/edge/serve.go
@@ -0,0 +1,387 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/gather"
+	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/table"
+	"kumquatreel.example/kumquatreel/internal/tier/topk"
+)
+
+// Prefixes of log lines.
+const (
+	partRequest = "request"
+	partFleet   = "fleet"
+	partStore   = "store"
+	partServers = "servers"
+	partProcess = "process"
+)
+
+const (
+	authorization = "Authorization"
+	bearer        = "Bearer "
+	retryAfter    = "Retry-After"
+
+	// budgetUnknown is the time a request has when neither its caller nor its route says so.
+	budgetUnknown = 10 * time.Second
+	// answerMargin is kept of a caller's time, so that the last answer still reaches it.
+	answerMargin = 2 * travel
+	// retryLeast and retryMost bound the pause that callers are asked for.
+	retryLeast = 20 * time.Millisecond
+	retryMost  = 2 * time.Second
+	// retryStarting is the pause asked for by a VM that knows no configuration yet.
+	retryStarting = 200 * time.Millisecond
+	// bodyUnknown bounds a request's body in bytes when no bound was published.
+	bodyUnknown = 1 << 20
+)
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// refusal is an answer of the edge's own.
+type refusal struct {
+	status int
+	text   string
+	// again is when the caller should come back, 0 for never.
+	again time.Duration
+}
+
+// serveCaller answers one attempt of a caller.
+func (e *Edge) serveCaller(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	e.busy.Add(1)
+	defer e.busy.Add(-1)
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	rq, no := e.admit(r, arrived)
+	if no != nil {
+		e.refuse(w, r, rq, *no)
+		return
+	}
+	out := e.run(r.Context(), rq)
+	if out.gone {
+		e.metrics.gone(rq)
+		e.log.Info(partRequest, "caller left", "id", rq.id, "route", rq.route.Name(), "ms", ms(time.Since(arrived)), "sends", out.sends)
+		panic(http.ErrAbortHandler)
+	}
+	e.answer(w, r, rq, out)
+}
+
+// admit finds the route and team of a request and decides whether it may run.
+func (e *Edge) admit(r *http.Request, arrived time.Time) (*request, *refusal) {
+	rq := &request{id: r.Header.Get(e.names.RequestID), method: r.Method, arrived: arrived}
+	t := e.dispatch.current()
+	if t == nil {
+		return rq, &refusal{http.StatusServiceUnavailable, "no configuration is known yet", retryStarting}
+	}
+	rq.version = t.Version()
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	rq.route = t.Match(hostName(r.Host), path)
+	if rq.route == nil {
+		return rq, &refusal{http.StatusNotFound, "no route", 0}
+	}
+	team, ok := teamOf(t, rq.route, r.Header.Get(authorization))
+	if !ok {
+		return rq, &refusal{http.StatusUnauthorized, "no such key", 0}
+	}
+	if team != nil {
+		rq.team = team.Name()
+	}
+	body, no := readBody(r, t.Limits())
+	if no != nil {
+		return rq, no
+	}
+	rq.body = body
+	e.setTimes(rq, r)
+	if !time.Now().Before(rq.hard) {
+		return rq, &refusal{http.StatusServiceUnavailable, "no time is left", retryLeast}
+	}
+	if team != nil {
+		ok, again := e.admitTeam(rq.team)
+		if !ok {
+			return rq, &refusal{http.StatusTooManyRequests, "the team is beyond its rate", again}
+		}
+	}
+	rq.head = e.head(r, rq)
+	return rq, nil
+}
+
+func (e *Edge) admitTeam(team ident.Team) (bool, time.Duration) {
+	e.quotaMu.Lock()
+	defer e.quotaMu.Unlock()
+	return e.quota.Admit(time.Now(), team)
+}
+
+func teamOf(t *table.Table, r *table.Route, header string) (*table.Team, bool) {
+	if !t.Keyed() {
+		return nil, true
+	}
+	key, ok := strings.CutPrefix(header, bearer)
+	if ok {
+		if team := t.Holder(strings.TrimSpace(key)); team != nil {
+			return team, true
+		}
+	}
+	return nil, r.Open()
+}
+
+func readBody(r *http.Request, limits table.Limits) ([]byte, *refusal) {
+	if !hasBody(r) {
+		return nil, nil
+	}
+	most := limits.BodyBytes
+	if most <= 0 {
+		most = bodyUnknown
+	}
+	if r.ContentLength > most {
+		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0}
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	if err != nil {
+		return nil, &refusal{http.StatusRequestTimeout, "the body did not arrive", retryLeast}
+	}
+	if int64(len(body)) > most {
+		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0}
+	}
+	return body, nil
+}
+
+// setTimes sets when the answer is due and when the request ends.
+func (e *Edge) setTimes(rq *request, r *http.Request) {
+	budget := budgetUnknown
+	if n, err := strconv.ParseFloat(r.Header.Get(e.names.RemainingMs), 64); err == nil {
+		budget = max(0, time.Duration(n*float64(time.Millisecond))-answerMargin)
+	}
+	if t := rq.route.Timeout(); t > 0 {
+		budget = min(budget, t)
+	}
+	rq.hard = rq.arrived.Add(budget)
+	rq.soft = rq.hard
+	if aim := rq.route.Aim(); aim > 0 {
+		rq.soft = rq.arrived.Add(max(0, min(budget, aim-2*travel-mergeTime)))
+	}
+}
+
+// head returns the request line and the headers for backend servers, without those that differ by server.
+func (e *Edge) head(r *http.Request, rq *request) []byte {
+	dropped := append([]string{authorization, e.names.Team, e.names.ExpectedServer, e.names.RemainingMs}, hopHeaders...)
+	for _, field := range r.Header["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			dropped = append(dropped, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	skip := make(map[string]bool, len(dropped))
+	for _, name := range dropped {
+		skip[name] = true
+	}
+	for name, values := range r.Header {
+		if skip[name] {
+			continue
+		}
+		for _, v := range values {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	if rq.team != "" {
+		b.WriteString(e.names.Team + ": " + string(rq.team) + "\r\n")
+	}
+	if hasBody(r) {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(rq.body)) + "\r\n")
+	}
+	return b.Bytes()
+}
+
+// answer gives the outcome of a request to its caller.
+func (e *Edge) answer(w http.ResponseWriter, r *http.Request, rq *request, out outcome) {
+	switch {
+	case out.enough && len(rq.route.Shards()) > 0:
+		e.answerShards(w, rq, out)
+	case out.enough:
+		e.pass(w, rq, out, out.parts[0])
+	case out.last != nil && len(rq.route.Shards()) == 0:
+		e.pass(w, rq, out, out.last)
+	default:
+		e.refuse(w, r, rq, e.failure(rq, out))
+	}
+}
+
+// failure returns how a request that got no answer ends; only one that has run nowhere is refused.
+func (e *Edge) failure(rq *request, out outcome) refusal {
+	missing := ""
+	if n := len(out.missing); n > 0 {
+		missing = ", missing " + strconv.Itoa(n) + " parts, one of them " + string(out.missing[0])
+	}
+	if !out.ran {
+		again := min(max(retryLeast, time.Until(rq.hard)/4), retryMost)
+		return refusal{http.StatusServiceUnavailable, "no server has room" + missing, again}
+	}
+	if out.reason == gather.ReasonDeadline {
+		return refusal{http.StatusGatewayTimeout, "the time is over" + missing, 0}
+	}
+	return refusal{http.StatusBadGateway, "too few servers answered" + missing, 0}
+}
+
+func (e *Edge) answerShards(w http.ResponseWriter, rq *request, out outcome) {
+	merger := topk.New(rq.route.TopK())
+	signatures := make([]string, 0, len(out.parts))
+	seen := make(map[string]bool, len(out.parts))
+	for _, p := range out.parts {
+		if p == nil {
+			continue
+		}
+		s := p.Header.Get(e.names.Signature)
+		if seen[s] {
+			continue
+		}
+		seen[s] = true
+		signatures = append(signatures, s)
+		merger.Add(p.Body)
+	}
+	body := merger.Bytes()
+	h := w.Header()
+	h[e.names.PartSignatures] = []string{strings.Join(signatures, ", ")}
+	h[e.names.MissingParts] = []string{strconv.Itoa(len(out.parts) - len(signatures))}
+	h[e.names.RequestID] = []string{rq.id}
+	h["Content-Type"] = []string{"application/octet-stream"}
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	w.WriteHeader(http.StatusOK)
+	_, err := w.Write(body)
+	took := time.Since(rq.arrived)
+	e.metrics.answered(rq, took, float64(len(signatures))/float64(len(out.parts)))
+	e.logAnswer(rq, out, http.StatusOK, took, err)
+}
+
+// pass gives a server's whole answer to the caller.
+func (e *Edge) pass(w http.ResponseWriter, rq *request, out outcome, a *link.Answer) {
+	h := w.Header()
+	for name, values := range a.Header {
+		if isHop(name) || name == e.names.Load || name == e.names.ColdMs {
+			continue
+		}
+		h[name] = values
+	}
+	h["Content-Length"] = []string{strconv.Itoa(len(a.Body))}
+	w.WriteHeader(a.Status)
+	_, err := w.Write(a.Body)
+	took := time.Since(rq.arrived)
+	if a.Status < http.StatusMultipleChoices {
+		e.metrics.answered(rq, took, 1)
+	} else {
+		e.metrics.refused(rq, a.Status, took)
+	}
+	e.logAnswer(rq, out, a.Status, took, err)
+}
+
+func isHop(name string) bool {
+	for _, h := range hopHeaders {
+		if h == name {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse gives an answer of the edge's own.
+func (e *Edge) refuse(w http.ResponseWriter, r *http.Request, rq *request, no refusal) {
+	h := w.Header()
+	if rq.id != "" {
+		h[e.names.RequestID] = []string{rq.id}
+	}
+	if no.again > 0 {
+		h.Set(retryAfter, strconv.FormatFloat(no.again.Seconds(), 'f', 3, 64))
+	}
+	took := time.Since(rq.arrived)
+	e.metrics.refused(rq, no.status, took)
+	fields := []any{
+		"id", rq.id, "status", no.status, "reason", no.text, "team", rq.team, "version", rq.version, "ms", ms(took),
+		"againMs", ms(no.again),
+	}
+	if rq.route == nil {
+		fields = append(fields, "host", r.Host)
+	} else {
+		fields = append(fields, "route", rq.route.Name(), "budgetMs", ms(rq.hard.Sub(rq.arrived)))
+	}
+	e.log.Warn(partRequest, "request not answered", fields...)
+	http.Error(w, no.text, no.status)
+}
+
+func (e *Edge) logAnswer(rq *request, out outcome, status int, took time.Duration, err error) {
+	late := rq.route.Aim() > 0 && took > rq.route.Aim()
+	if err == nil && !late && len(out.missing) == 0 && status < http.StatusMultipleChoices {
+		return
+	}
+	fields := []any{
+		"id", rq.id, "route", rq.route.Name(), "team", rq.team, "status", status, "version", rq.version, "ms", ms(took),
+		"aimMs", ms(rq.route.Aim()), "reason", out.reason.String(), "sends", out.sends, "hedges", out.hedges,
+		"refused", out.refused, "missing", len(out.missing),
+	}
+	if len(out.missing) > 0 {
+		fields = append(fields, "firstMissing", out.missing[0])
+	}
+	if err != nil {
+		fields = append(fields, "error", err.Error())
+	}
+	e.log.Info(partRequest, "answered late or in part", fields...)
+}
+
+func hostName(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
+// serveReady tells the platform whether callers may come.
+func (e *Edge) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.ready.Load() || e.leaving.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// serveDirectory tells a caller which VMs to use.
+func (e *Edge) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	addresses := e.directory(ident.Domain(q.Get(e.names.Directory.Domain)), q.Get(e.names.Directory.Region))
+	if len(addresses) == 0 {
+		http.Error(w, "no VM is ready", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := e.names.DirectoryAnswer(addresses, e.keep())
+	if err != nil {
+		e.log.Error(partFleet, "directory answer cannot be encoded", "error", err.Error())
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// listen opens a TCP listener at an address.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Errorf("listen at %s: %w", address, err)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/tier/gather/gather.go
@@ -0,0 +1,439 @@
+package gather
+
+import (
+	"slices"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Verdict,Reason -trimprefix=Verdict,Reason -transform=title-lower -output=enums.go
+
+const (
+	// backoffFirst is the pause before a part goes to servers that have refused it; it doubles each time.
+	backoffFirst = 8 * time.Millisecond
+	backoffMost  = 100 * time.Millisecond
+	// attemptsMost bounds the attempts at one part, refused ones included.
+	attemptsMost = 6
+	// hedgeFactor times the latency that counts as late is waited before a second server is asked.
+	hedgeFactor = 1.1
+	// leaveFactor times the usual latency must be left for a second server to be asked in time.
+	leaveFactor = 1.5
+)
+
+// Verdict is how one attempt ended.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictAnswered is a usable answer.
+	VerdictAnswered Verdict = iota
+	// VerdictRefused is a server's word that the request did not run.
+	VerdictRefused
+	// VerdictMisplaced is another server's word that it did not run the request.
+	VerdictMisplaced
+	// VerdictUnsent means that the server could not be reached.
+	VerdictUnsent
+	// VerdictFailed is a failure of a server that ran the request.
+	VerdictFailed
+	// VerdictLost means that no answer came and the request may have run.
+	VerdictLost
+)
+
+// NotRun reports whether the attempt certainly did not run.
+func (v Verdict) NotRun() bool {
+	return v == VerdictRefused || v == VerdictMisplaced || v == VerdictUnsent
+}
+
+// Reason is why a request ended.
+type Reason int
+
+// The reasons.
+const (
+	// ReasonComplete means that all parts are in.
+	ReasonComplete Reason = iota
+	// ReasonInTime means that enough parts are in and waiting would make the answer late.
+	ReasonInTime
+	// ReasonUnreachable means that too few parts can still come.
+	ReasonUnreachable
+	// ReasonDeadline means that the time is over.
+	ReasonDeadline
+)
+
+// Spec is a request as it is to be answered.
+type Spec struct {
+	// Shards are the services that each hold a part; there is at least one.
+	Shards []ident.Service
+	// Attempts is how many servers a part may run on.
+	Attempts int
+	// Idempotent says that a part may run more than once.
+	Idempotent bool
+	// MinCoverage is the least share of parts with which an answer is a success.
+	MinCoverage float64
+	// Soft is when the answer must be given to be in time, Hard when the request ends.
+	Soft, Hard time.Time
+	// Usual and Late are the usual latency of a part and the one beyond which it is late.
+	Usual, Late time.Duration
+}
+
+// Chooser finds servers and keeps account of repeats.
+type Chooser interface {
+	// Choose returns a server for a part other than those excluded.
+	Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, bool)
+	// Repeat takes one repeat from the budget of a service and reports whether there was one.
+	Repeat(now time.Time, service ident.Service) bool
+}
+
+// Send is an attempt to make.
+type Send struct {
+	Shard   int
+	Attempt int
+	Service ident.Service
+	Server  ident.Server
+	// Hedge says that an earlier attempt at the part is still open.
+	Hedge bool
+}
+
+// Ended is an attempt that has ended.
+type Ended struct {
+	Shard   int
+	Attempt int
+	Verdict Verdict
+}
+
+// State is one request in progress. It is driven by one goroutine at a time.
+type State struct {
+	spec   Spec
+	shards []shard
+	in     int
+	closed int
+	done   bool
+	reason Reason
+	ran    bool
+}
+
+type shard struct {
+	attempts []attempt
+	answered bool
+	closed   bool
+	retryAt  time.Time
+	backoff  time.Duration
+}
+
+type attempt struct {
+	server  ident.Server
+	sent    time.Time
+	ended   bool
+	verdict Verdict
+}
+
+// New returns the state of a request that has not been started.
+func New(spec Spec) *State { return &State{spec: spec, shards: make([]shard, len(spec.Shards))} }
+
+// Start returns the first sends.
+func (s *State) Start(now time.Time, c Chooser) []Send {
+	var out []Send
+	for i := range s.shards {
+		if send, ok := s.send(now, i, c); ok {
+			out = append(out, send)
+		} else {
+			s.close(i)
+		}
+	}
+	if !s.reachable() {
+		s.finish(ReasonUnreachable)
+		return nil
+	}
+	s.settle(now)
+	return out
+}
+
+// Ended takes the end of an attempt and returns what to send for it.
+func (s *State) Ended(now time.Time, e Ended, c Chooser) []Send {
+	sh := &s.shards[e.Shard]
+	a := &sh.attempts[e.Attempt]
+	if a.ended {
+		return nil
+	}
+	a.ended, a.verdict = true, e.Verdict
+	if !e.Verdict.NotRun() {
+		s.ran = true
+	}
+	if s.done || sh.answered {
+		return nil
+	}
+	if e.Verdict == VerdictAnswered {
+		sh.answered = true
+		s.in++
+		s.settle(now)
+		return nil
+	}
+	var out []Send
+	if sh.open() == 0 {
+		out = s.again(now, e.Shard, c, false)
+	}
+	s.settle(now)
+	if s.done {
+		return nil
+	}
+	return out
+}
+
+// Tick returns what to send because time has passed.
+func (s *State) Tick(now time.Time, c Chooser) []Send {
+	s.settle(now)
+	if s.done {
+		return nil
+	}
+	var out []Send
+	for i := range s.shards {
+		sh := &s.shards[i]
+		switch {
+		case sh.answered || sh.closed:
+		case sh.open() == 0 && !sh.retryAt.IsZero() && !now.Before(sh.retryAt):
+			out = append(out, s.again(now, i, c, true)...)
+		case sh.open() == 1 && s.hedgeDue(now, sh):
+			if send, ok := s.hedge(now, i, c); ok {
+				out = append(out, send)
+			}
+		}
+	}
+	s.settle(now)
+	return out
+}
+
+// Next returns when the state wants to be driven, and false when it is done.
+func (s *State) Next(now time.Time) (time.Time, bool) {
+	if s.done {
+		return time.Time{}, false
+	}
+	next := s.spec.Hard
+	if now.Before(s.spec.Soft) {
+		next = earlier(next, s.spec.Soft)
+	}
+	for i := range s.shards {
+		sh := &s.shards[i]
+		if sh.answered || sh.closed {
+			continue
+		}
+		if sh.open() == 0 && !sh.retryAt.IsZero() {
+			next = earlier(next, sh.retryAt)
+		}
+		if at, ok := s.hedgeAt(sh); ok && at.After(now) {
+			next = earlier(next, at)
+		}
+	}
+	return next, true
+}
+
+// Done reports whether the request has ended, and why.
+func (s *State) Done() (Reason, bool) { return s.reason, s.done }
+
+// Answered reports whether a part is in.
+func (s *State) Answered(shard int) bool { return s.shards[shard].answered }
+
+// In returns how many parts are in.
+func (s *State) In() int { return s.in }
+
+// Enough reports whether enough parts are in for a success.
+func (s *State) Enough() bool {
+	return s.in > 0 && float64(s.in) >= s.spec.MinCoverage*float64(len(s.shards))-1e-9
+}
+
+// Ran reports whether any part has run or may have.
+func (s *State) Ran() bool {
+	if s.ran {
+		return true
+	}
+	for i := range s.shards {
+		if s.shards[i].open() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Missing returns the services whose parts are not in.
+func (s *State) Missing() []ident.Service {
+	var out []ident.Service
+	for i := range s.shards {
+		if !s.shards[i].answered {
+			out = append(out, s.spec.Shards[i])
+		}
+	}
+	return out
+}
+
+func (s *State) settle(now time.Time) {
+	switch {
+	case s.done:
+	case s.in == len(s.shards):
+		s.finish(ReasonComplete)
+	case s.in+s.closed == len(s.shards) && s.Enough():
+		s.finish(ReasonInTime)
+	case !s.reachable():
+		s.finish(ReasonUnreachable)
+	case !now.Before(s.spec.Hard):
+		s.finish(ReasonDeadline)
+	case !now.Before(s.spec.Soft) && s.Enough() && len(s.shards) > 1:
+		s.finish(ReasonInTime)
+	}
+}
+
+func (s *State) finish(r Reason) { s.done, s.reason = true, r }
+
+// reachable reports whether enough parts are in or can still come.
+func (s *State) reachable() bool {
+	can := len(s.shards) - s.closed
+	return can > 0 && float64(can) >= s.spec.MinCoverage*float64(len(s.shards))-1e-9
+}
+
+func (s *State) close(i int) {
+	if !s.shards[i].closed {
+		s.shards[i].closed = true
+		s.closed++
+	}
+}
+
+// again sends a part once more after all its attempts have ended, at once or after a pause, or gives it up.
+func (s *State) again(now time.Time, i int, c Chooser, paused bool) []Send {
+	sh := &s.shards[i]
+	sh.retryAt = time.Time{}
+	if sh.runs() >= s.spec.Attempts || (!s.spec.Idempotent && sh.runs() > 0) || len(sh.attempts) >= attemptsMost {
+		s.close(i)
+		return nil
+	}
+	exclude := sh.tried()
+	if paused {
+		exclude = sh.ran()
+	}
+	if send, ok := s.repeat(now, i, c, exclude); ok {
+		return []Send{send}
+	}
+	wait := backoffFirst
+	if sh.backoff > 0 {
+		wait = min(2*sh.backoff, backoffMost)
+	}
+	if paused || !sh.refused() || now.Add(wait+s.spec.Usual).After(s.spec.Hard) {
+		s.close(i)
+		return nil
+	}
+	sh.backoff, sh.retryAt = wait, now.Add(wait)
+	return nil
+}
+
+func (s *State) repeat(now time.Time, i int, c Chooser, exclude []ident.Server) (Send, bool) {
+	server, ok := c.Choose(now, s.spec.Shards[i], exclude)
+	if !ok {
+		return Send{}, false
+	}
+	if s.shards[i].arrived() && !c.Repeat(now, s.spec.Shards[i]) {
+		return Send{}, false
+	}
+	return s.record(now, i, server), true
+}
+
+func (s *State) send(now time.Time, i int, c Chooser) (Send, bool) {
+	server, ok := c.Choose(now, s.spec.Shards[i], nil)
+	if !ok {
+		return Send{}, false
+	}
+	return s.record(now, i, server), true
+}
+
+func (s *State) hedge(now time.Time, i int, c Chooser) (Send, bool) {
+	send, ok := s.repeat(now, i, c, s.shards[i].tried())
+	send.Hedge = true
+	return send, ok
+}
+
+func (s *State) record(now time.Time, i int, server ident.Server) Send {
+	sh := &s.shards[i]
+	sh.attempts = append(sh.attempts, attempt{server: server, sent: now})
+	return Send{Shard: i, Attempt: len(sh.attempts) - 1, Service: s.spec.Shards[i], Server: server}
+}
+
+// hedgeAt returns when a second server is asked for a part: when it is late, but in time for the other to answer.
+func (s *State) hedgeAt(sh *shard) (time.Time, bool) {
+	if !s.spec.Idempotent || sh.open() != 1 || sh.runs() >= s.spec.Attempts || len(sh.attempts) >= attemptsMost {
+		return time.Time{}, false
+	}
+	at := sh.openSince().Add(time.Duration(hedgeFactor * float64(s.spec.Late)))
+	latest := s.spec.Soft.Add(-time.Duration(leaveFactor * float64(s.spec.Usual)))
+	if latest.After(sh.openSince().Add(s.spec.Usual)) {
+		at = earlier(at, latest)
+	}
+	return at, true
+}
+
+func (s *State) hedgeDue(now time.Time, sh *shard) bool {
+	at, ok := s.hedgeAt(sh)
+	return ok && !now.Before(at)
+}
+
+func (sh *shard) open() int {
+	n := 0
+	for i := range sh.attempts {
+		if !sh.attempts[i].ended {
+			n++
+		}
+	}
+	return n
+}
+
+// runs counts the attempts that have run or may have; open ones count.
+func (sh *shard) runs() int {
+	n := 0
+	for i := range sh.attempts {
+		if !sh.attempts[i].ended || !sh.attempts[i].verdict.NotRun() {
+			n++
+		}
+	}
+	return n
+}
+
+// arrived reports whether an attempt has reached a server or may have.
+func (sh *shard) arrived() bool {
+	return slices.ContainsFunc(sh.attempts, func(a attempt) bool { return !a.ended || a.verdict != VerdictUnsent })
+}
+
+func (sh *shard) tried() []ident.Server {
+	out := make([]ident.Server, len(sh.attempts))
+	for i := range sh.attempts {
+		out[i] = sh.attempts[i].server
+	}
+	return out
+}
+
+// ran returns the servers that a part must not go to again: those that ran it or are not what they were taken for.
+func (sh *shard) ran() []ident.Server {
+	var out []ident.Server
+	for i := range sh.attempts {
+		if v := sh.attempts[i].verdict; !sh.attempts[i].ended || v != VerdictRefused && v != VerdictUnsent {
+			out = append(out, sh.attempts[i].server)
+		}
+	}
+	return out
+}
+
+// refused reports whether some server had no room, so that waiting may help.
+func (sh *shard) refused() bool {
+	return slices.ContainsFunc(sh.attempts, func(a attempt) bool { return a.ended && a.verdict == VerdictRefused })
+}
+
+// openSince returns when the only open attempt was made.
+func (sh *shard) openSince() time.Time {
+	for i := range sh.attempts {
+		if !sh.attempts[i].ended {
+			return sh.attempts[i].sent
+		}
+	}
+	return time.Time{}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/tier/pace/doc.go
@@ -0,0 +1,2 @@
+// Package pace learns how long the parts of one kind of request usually take.
+package pace
--- /dev/null
+++ b/internal/tier/pace/pace.go
@@ -0,0 +1,48 @@
+package pace
+
+import "time"
+
+const (
+	// step is the fraction by which one answer moves an estimate.
+	step = 0.04
+	// highQuantile is the quantile beyond which a part counts as late.
+	highQuantile = 0.93
+	// least keeps the estimates from collapsing.
+	least = 200 * time.Microsecond
+)
+
+// Pace estimates the median and a high quantile of latencies; the zero value has none. It is driven under its owner's lock.
+type Pace struct {
+	median time.Duration
+	high   time.Duration
+}
+
+// Start sets the estimates for a kind of request that nothing is known of.
+func (p *Pace) Start(median time.Duration) {
+	if p.median == 0 {
+		p.median = max(least, median)
+		p.high = 2 * p.median
+	}
+}
+
+// Observe takes one latency.
+func (p *Pace) Observe(took time.Duration) {
+	p.Start(took)
+	p.median = move(p.median, took, 0.5)
+	p.high = max(move(p.high, took, highQuantile), p.median)
+}
+
+// Median returns the middle latency.
+func (p *Pace) Median() time.Duration { return p.median }
+
+// High returns the latency beyond which a part counts as late.
+func (p *Pace) High() time.Duration { return p.high }
+
+// move takes an estimate of a quantile one step towards it: in balance, a share q of the latencies lies below.
+func move(estimate, took time.Duration, q float64) time.Duration {
+	delta := step * float64(estimate)
+	if took > estimate {
+		return estimate + time.Duration(delta*q)
+	}
+	return max(least, estimate-time.Duration(delta*(1-q)))
+}
--- /dev/null
+++ b/internal/tier/source/source.go
@@ -0,0 +1,55 @@
+package source
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/mirror"
+	"kumquatreel.example/kumquatreel/internal/tier/roster"
+	"kumquatreel.example/kumquatreel/internal/tier/table"
+)
+
+// ErrHistoryGone says that a store no longer has the changes that a watch asks for.
+var ErrHistoryGone = errors.New("the store's history is gone")
+
+// Store can be read and watched.
+type Store interface {
+	// Read returns all items and the revision from which a watch must go on.
+	Read(ctx context.Context) ([]mirror.Item, int64, error)
+	// Watch waits for changes after a revision; it returns none when wait passes without any.
+	Watch(ctx context.Context, after int64, wait time.Duration) ([]mirror.Item, int64, error)
+}
+
+// Event is what one item says.
+type Event interface{ event() }
+
+// TablePublished carries a configuration.
+type TablePublished struct{ Text table.Text }
+
+// ServerSeen carries what a backend server says of itself.
+type ServerSeen struct{ Entry roster.Entry }
+
+// ServerGone says that a backend server's entry was removed or cannot be used.
+type ServerGone struct{ Server ident.Server }
+
+// DomainOut says that the servers of a failure domain are to get nothing.
+type DomainOut struct{ Domain ident.Domain }
+
+// DomainIn says that a failure domain is taken back.
+type DomainIn struct{ Domain ident.Domain }
+
+// Ignored is an item that concerns the edge in no way.
+type Ignored struct{}
+
+func (TablePublished) event() {}
+func (ServerSeen) event()     {}
+func (ServerGone) event()     {}
+func (DomainOut) event()      {}
+func (DomainIn) event()       {}
+func (Ignored) event()        {}
+
+// Decode turns an item into an event; with an error the event says what still holds.
+type Decode func(mirror.Item) (Event, error)
--- /dev/null
+++ b/internal/tier/table/table.go
@@ -0,0 +1,254 @@
+package table
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Kind -trimprefix=Kind -transform=title-lower -output=enums.go
+
+// Kind says how often a request of a route may run.
+type Kind int
+
+// The kinds of routes.
+const (
+	// KindOnce requests run at most once for each attempt of a caller.
+	KindOnce Kind = iota
+	// KindIdempotent requests may run more than once.
+	KindIdempotent
+)
+
+// Share is the part of a route's requests that a service gets.
+type Share struct {
+	Service ident.Service
+	Weight  float64
+}
+
+// RouteText is a route as it was published.
+type RouteText struct {
+	Name        ident.Route
+	Host        string
+	Prefix      string
+	Kind        Kind
+	Timeout     time.Duration
+	Aim         time.Duration
+	Priority    int
+	Service     ident.Service
+	Split       []Share
+	Shards      []ident.Service
+	MaxAttempts int
+	Open        bool
+	TopK        int
+	MinCoverage float64
+	Regions     []string
+}
+
+// ServiceText is what was published of a service.
+type ServiceText struct {
+	Name           ident.Service
+	HealthPath     string
+	MaxConnections int
+	ColdFor        time.Duration
+	ColdPerSecond  float64
+}
+
+// TeamText is a team as it was published; Rate is in requests per second, and 0 means no limit.
+type TeamText struct {
+	Name     ident.Team
+	Keys     []string
+	Rate     float64
+	Burst    float64
+	Priority *int
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Text is a configuration as it was published.
+type Text struct {
+	Version  int64
+	Routes   []RouteText
+	Services []ServiceText
+	Teams    []TeamText
+	Limits   Limits
+}
+
+// Table is a configuration in force; it does not change.
+type Table struct {
+	text     Text
+	hosts    map[string][]*Route
+	services map[ident.Service]ServiceText
+	keys     map[string]*Team
+	teams    map[ident.Team]*Team
+	routed   []ident.Service
+}
+
+// New returns the table of a published configuration.
+func New(t Text) *Table {
+	b := &Table{
+		text: t, hosts: make(map[string][]*Route), services: make(map[ident.Service]ServiceText, len(t.Services)),
+		keys: make(map[string]*Team), teams: make(map[ident.Team]*Team, len(t.Teams)),
+	}
+	for _, r := range t.Routes {
+		b.hosts[r.Host] = append(b.hosts[r.Host], &Route{text: r})
+	}
+	for _, routes := range b.hosts {
+		slices.SortStableFunc(routes, func(x, y *Route) int { return cmp.Compare(len(y.text.Prefix), len(x.text.Prefix)) })
+	}
+	for _, s := range t.Services {
+		b.services[s.Name] = s
+	}
+	for _, team := range t.Teams {
+		b.addTeam(team)
+	}
+	b.routed = routedServices(t.Routes)
+	return b
+}
+
+func (b *Table) addTeam(t TeamText) {
+	team := &Team{text: t}
+	b.teams[t.Name] = team
+	for _, k := range t.Keys {
+		b.keys[k] = team
+	}
+}
+
+func routedServices(routes []RouteText) []ident.Service {
+	seen := make(map[ident.Service]bool)
+	for _, r := range routes {
+		if r.Service != "" {
+			seen[r.Service] = true
+		}
+		for _, s := range r.Split {
+			seen[s.Service] = true
+		}
+		for _, s := range r.Shards {
+			seen[s] = true
+		}
+	}
+	out := make([]ident.Service, 0, len(seen))
+	for s := range seen {
+		out = append(out, s)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Version returns the version of the configuration.
+func (b *Table) Version() int64 { return b.text.Version }
+
+// Limits returns what callers are held to.
+func (b *Table) Limits() Limits { return b.text.Limits }
+
+// Service returns what was published of a service, or the zero value.
+func (b *Table) Service(name ident.Service) ServiceText { return b.services[name] }
+
+// Routed returns the services that some route leads to, in order.
+func (b *Table) Routed() []ident.Service { return b.routed }
+
+// Team returns a team by name, or nil.
+func (b *Table) Team(name ident.Team) *Team { return b.teams[name] }
+
+// Teams returns the published teams.
+func (b *Table) Teams() []TeamText { return b.text.Teams }
+
+// Keyed reports whether requests need a key.
+func (b *Table) Keyed() bool { return len(b.text.Teams) > 0 }
+
+// Holder returns the team that holds a key, or nil.
+func (b *Table) Holder(key string) *Team { return b.keys[key] }
+
+// Match returns the route with the longest prefix of a path on a host, or nil.
+func (b *Table) Match(host, path string) *Route {
+	for _, r := range b.hosts[host] {
+		if strings.HasPrefix(path, r.text.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Route is one route of a table.
+type Route struct {
+	text RouteText
+}
+
+// Name returns the route's name.
+func (r *Route) Name() ident.Route { return r.text.Name }
+
+// Kind returns how often a request may run.
+func (r *Route) Kind() Kind { return r.text.Kind }
+
+// Timeout returns how long a request may be kept waiting, 0 for no bound.
+func (r *Route) Timeout() time.Duration { return r.text.Timeout }
+
+// Aim returns the time within which an answer has its full worth, 0 where none is set.
+func (r *Route) Aim() time.Duration { return r.text.Aim }
+
+// Priority returns the rank of the route's requests; 0 is the highest.
+func (r *Route) Priority() int { return r.text.Priority }
+
+// MaxAttempts returns how many servers of one service a request may run on, at least 1.
+func (r *Route) MaxAttempts() int { return max(1, r.text.MaxAttempts) }
+
+// Open reports whether requests need no key.
+func (r *Route) Open() bool { return r.text.Open }
+
+// Shards returns the services that each hold a part of the answer, or nil for a route to one service.
+func (r *Route) Shards() []ident.Service { return r.text.Shards }
+
+// TopK returns how many records an answer over shards holds.
+func (r *Route) TopK() int { return r.text.TopK }
+
+// MinCoverage returns the least share of the shards with which an answer is a success.
+func (r *Route) MinCoverage() float64 { return r.text.MinCoverage }
+
+// Choose returns the service that gets a request, given a number in [0,1) that is uniform over requests.
+func (r *Route) Choose(at float64) ident.Service {
+	if len(r.text.Split) == 0 {
+		return r.text.Service
+	}
+	sum := 0.0
+	for _, s := range r.text.Split {
+		sum += s.Weight
+	}
+	at *= sum
+	for _, s := range r.text.Split {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.text.Split[len(r.text.Split)-1].Service
+}
+
+// Team is one team of a table.
+type Team struct {
+	text TeamText
+}
+
+// Name returns the team's name.
+func (t *Team) Name() ident.Team { return t.text.Name }
+
+// Rate returns the team's requests per second over the fleet, 0 for no limit.
+func (t *Team) Rate() float64 { return t.text.Rate }
+
+// Burst returns how many requests the team may send beyond its rate.
+func (t *Team) Burst() float64 { return t.text.Burst }
+
+// Rank returns the priority of a request of the team on a route; the team's own goes first.
+func (t *Team) Rank(r *Route) int {
+	if t.text.Priority != nil {
+		return *t.text.Priority
+	}
+	return r.Priority()
+}
