direct: send callers to the strongest VMs near the servers

Cause: with callers on all VMs each VM meets a pause of a server once, and parts cross failure domains. Change: the directory names the strongest VMs in domains that hold servers, as many as carry the load, 4 at least.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -72,6 +72,7 @@
 	ended   atomic.Bool
 	reading atomic.Bool
 	busy    atomic.Int64
+	load    loadMeter
 
 	servers  []*http.Server
 	cleanups []func()
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -15,7 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
-	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/direct"
 	"kumquatreel.example/kumquatreel/internal/tier/mirror"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
 )
@@ -128,7 +128,7 @@
 	s := e.settings.Load()
 	return peers.Digest{
 		VM: s.Name(), Address: s.Address(), Domain: s.Domain(), Region: s.Region(), Boot: e.boot, Phase: phase,
-		Power: s.CPUShare(), Revision: e.revision(), Reading: e.reading.Load(), Teams: teams,
+		Power: s.CPUShare(), Load: e.load.rate(now), Revision: e.revision(), Reading: e.reading.Load(), Teams: teams,
 	}
 }
 
@@ -330,8 +330,8 @@
 	}
 }
 
-// directory returns the addresses that a caller in a failure domain should use.
-func (e *Edge) directory(domain ident.Domain, region string) []string {
+// directory returns the addresses that callers should use.
+func (e *Edge) directory() []string {
 	now := time.Now()
 	s := e.settings.Load()
 	e.fleet.mu.Lock()
@@ -341,16 +341,23 @@
 	if err != nil {
 		return nil
 	}
-	var out []string
+	var ready []direct.VM
 	if e.ready.Load() && !e.leaving.Load() {
-		out = append(out, s.Callers())
+		ready = append(ready, direct.VM{
+			Name: s.Name(), Domain: s.Domain(), Address: s.Callers(), Power: s.CPUShare(), Load: e.load.rate(now),
+		})
 	}
 	for _, m := range alive {
 		if d := m.Digest(); d.Phase == peers.PhaseReady {
-			out = append(out, net.JoinHostPort(d.Address, port))
+			ready = append(ready, direct.VM{
+				Name: d.VM, Domain: d.Domain, Address: net.JoinHostPort(d.Address, port), Power: d.Power, Load: d.Load,
+			})
 		}
 	}
-	return out
+	e.dispatch.mu.Lock()
+	servers := e.dispatch.roster.Domains()
+	e.dispatch.mu.Unlock()
+	return direct.Choose(ready, servers)
 }
 
 // keep returns how long a caller may keep a directory answer.
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -137,6 +137,9 @@
 		j.open.Add(1)
 		go j.attempt(s)
 	}
+	if len(sends) > 0 {
+		j.edge.load.add(time.Now(), len(sends))
+	}
 }
 
 func (j *job) take(f finished) {
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -359,9 +359,8 @@
 }
 
 // serveDirectory tells a caller which VMs to use.
-func (e *Edge) serveDirectory(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	addresses := e.directory(ident.Domain(q.Get(e.names.Directory.Domain)), q.Get(e.names.Directory.Region))
+func (e *Edge) serveDirectory(w http.ResponseWriter, _ *http.Request) {
+	addresses := e.directory()
 	if len(addresses) == 0 {
 		http.Error(w, "no VM is ready", http.StatusServiceUnavailable)
 		return
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -44,10 +44,11 @@
 	Boot    int64        `json:"b"`
 	Serial  int64        `json:"n"`
 	Phase   Phase        `json:"p"`
-	Power   float64      `json:"c"`
-	// Revision is how far the process has read the store, and FreshMs how long ago it or another last heard from the store.
+	// Power is the VM's share of a core, Load how much of a core it spends on callers.
+	Power float64 `json:"c"`
+	Load  float64 `json:"l"`
+	// Revision is how far the process has read the store; Reading says that it watches the store itself.
 	Revision int64                       `json:"v"`
-	FreshMs  int64                       `json:"f"`
 	Reading  bool                        `json:"w,omitempty"`
 	Teams    map[ident.Team]quota.Report `json:"t,omitempty"`
 }
