peers, quota: heartbeats twice as rare while no team is close to its limit

Change: 400 ms instead of 200 ms unless a team has less than 0.7 of its burst left; known addresses in each tenth heartbeat; servers in other domains are charged twice their latency.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -16,6 +16,8 @@
 	startLevel = 0.4
 	// settle is the time after the start in which a VM takes over what others say of a team's level.
 	settle = time.Second
+	// tightShare of the burst is little.
+	tightShare = 0.7
 	// rateShare keeps the fleet a little below a team's rate.
 	rateShare = 0.98
 )
@@ -108,6 +110,19 @@
 	return t.level - t.assumed(now)
 }
 
+// Tight reports whether some team has little left of its burst, so that what others let through matters soon.
+func (q *Quota) Tight(now time.Time) bool {
+	for _, t := range q.teams {
+		if t.limit.Rate > 0 && now.Sub(t.usedAt) < assumeMost {
+			t.accrue(now)
+			if t.level-t.assumed(now) < tightShare*t.limit.Burst {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Reports returns what to tell others: the teams whose requests this VM has let through within a span.
 func (q *Quota) Reports(now time.Time, within time.Duration) map[ident.Team]Report {
 	out := make(map[ident.Team]Report)
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -21,8 +21,11 @@
 )
 
 const (
-	// gossipPeriod is the time between heartbeats.
+	// gossipPeriod is the time between heartbeats while some team is close to its limit, calmPeriods times that else.
 	gossipPeriod = 200 * time.Millisecond
+	calmPeriods  = 2
+	// knownPeriods is how many heartbeats pass between two that tell of other VMs.
+	knownPeriods = 10
 	// gossipAll is the largest fleet in which each VM tells all others; in larger ones it tells a few each time.
 	gossipAll = 12
 	// gossipFew is how many are told each time in a larger fleet.
@@ -64,9 +67,14 @@
 }
 
 func (e *Edge) gossip(ctx context.Context) {
-	for clock.Sleep(ctx, gossipPeriod) {
+	for n := 0; clock.Sleep(ctx, gossipPeriod); n++ {
 		e.tickFleet()
-		e.tell(false)
+		e.quotaMu.Lock()
+		tight := e.quota.Tight(time.Now())
+		e.quotaMu.Unlock()
+		if tight || n%calmPeriods == 0 {
+			e.tell(false)
+		}
 	}
 }
 
@@ -145,7 +153,9 @@
 	all := f.peers.Addresses()
 	f.mu.Unlock()
 	targets := e.targets(all)
-	m.Known = e.sample(all, knownMost)
+	if reply || m.From.Serial%knownPeriods == 0 {
+		m.Known = e.sample(all, knownMost)
+	}
 	for _, to := range targets {
 		e.post(m, to)
 	}
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -40,13 +40,13 @@
 	VM      ident.VM     `json:"vm"`
 	Address string       `json:"ip"`
 	Domain  ident.Domain `json:"d"`
-	Region  string       `json:"r"`
+	Region  string       `json:"r,omitempty"`
 	Boot    int64        `json:"b"`
 	Serial  int64        `json:"n"`
 	Phase   Phase        `json:"p"`
 	// Power is the VM's share of a core, Load how much of a core it spends on callers.
 	Power float64 `json:"c"`
-	Load  float64 `json:"l"`
+	Load  float64 `json:"l,omitempty"`
 	// Revision is how far the process has read the store; Reading says that it watches the store itself.
 	Revision int64                       `json:"v"`
 	Reading  bool                        `json:"w,omitempty"`
@@ -60,11 +60,11 @@
 
 // Message is one datagram.
 type Message struct {
-	From Digest `json:"from"`
+	From Digest `json:"f"`
 	// Known are addresses of other VMs that the sender has heard from.
-	Known []string `json:"known,omitempty"`
+	Known []string `json:"k,omitempty"`
 	// Reply asks for an answer, as a new process does.
-	Reply bool `json:"reply,omitempty"`
+	Reply bool `json:"a,omitempty"`
 }
 
 // Member is another VM as it was last heard from.
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -34,7 +34,7 @@
 	downFirst = 100 * time.Millisecond
 	downMost  = time.Second
 	// awayShare of the usual latency is charged to a server in another failure domain, whose bytes cost more.
-	awayShare = 0.4
+	awayShare = 1.0
 	// forget is the time after which what is known of an idle server's speed has lost half its weight.
 	forget = 4 * time.Second
 	// jitter spreads the requests of VMs that know the same.
