tier, limit: test the decisions against the loads that they answer

Cause: the decisions had no tests of their own. Found: a query that could not be answered counted sends that were never made as run, so it ended with 502 instead of 503 (TestAnswer failed first); mended in gather.

--- /dev/null
+++ b/internal/limit/quota/quota_test.go
@@ -0,0 +1,182 @@
+package quota_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/limit/quota"
+)
+
+var start = time.Unix(1000, 0)
+
+const team = ident.Team("t")
+
+// fleet is some VMs that tell each other of a team every 200 ms.
+type fleet struct {
+	vms   []*quota.Quota
+	names []ident.Process
+	limit quota.Limit
+	// cut holds the VMs that neither hear nor are heard.
+	cut      map[int]bool
+	admitted []int
+	refused  []int
+}
+
+func newFleet(n int, limit quota.Limit) *fleet {
+	f := &fleet{limit: limit, cut: make(map[int]bool)}
+	for i := range n {
+		f.vms = append(f.vms, quota.New(start.Add(-10*time.Second)))
+		f.names = append(f.names, ident.Process(rune('a'+i)))
+		f.vms[i].SetLimits(start.Add(-10*time.Second), map[ident.Team]quota.Limit{team: limit})
+	}
+	return f
+}
+
+// play sends requests at a rate, spread by pick, and records what is admitted and refused in each tenth of a second.
+func (f *fleet) play(rng *rand.Rand, from, to time.Duration, rate float64, pick func() int) {
+	for at := from; at < to; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		step := int(at / (100 * time.Millisecond))
+		for len(f.admitted) <= step {
+			f.admitted = append(f.admitted, 0)
+			f.refused = append(f.refused, 0)
+		}
+		if at%(200*time.Millisecond) == 0 {
+			f.tell(now)
+		}
+		for sent := rng.Float64(); sent < rate/100; sent++ {
+			if ok, _ := f.vms[pick()].Admit(now, team); ok {
+				f.admitted[step]++
+			} else {
+				f.refused[step]++
+			}
+		}
+	}
+}
+
+func (f *fleet) tell(now time.Time) {
+	for i, from := range f.vms {
+		reports := from.Reports(now, 2*time.Second)
+		for j, to := range f.vms {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				to.Heard(now, f.names[i], reports)
+			}
+		}
+	}
+}
+
+func (f *fleet) anyVM(rng *rand.Rand) func() int { return func() int { return rng.IntN(len(f.vms)) } }
+
+// assertBound checks the users' bound in every window of five seconds.
+func (f *fleet) assertBound(t *testing.T) {
+	t.Helper()
+	const steps, overshoot, slack = 50, 0.25, 20
+	allowed := (f.limit.Rate*5+f.limit.Burst)*(1+overshoot) + slack
+	for from := 0; from+steps <= len(f.admitted); from++ {
+		if sum := total(f.admitted[from : from+steps]); float64(sum) > allowed {
+			t.Fatalf("%d admitted in the window from %d00 ms, want at most %.0f", sum, from, allowed)
+		}
+	}
+}
+
+func total(counts []int) int {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
+var limit = quota.Limit{Rate: 24, Burst: 24}
+
+func TestWithinRate(t *testing.T) {
+	t.Run("nothing is refused, wherever the requests arrive", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 1))
+		f := newFleet(9, limit)
+		f.play(rng, 0, 10*time.Second, 15, f.anyVM(rng))
+		f.play(rng, 10*time.Second, 20*time.Second, 15, func() int { return 3 })
+		if n := total(f.refused); n > 0 {
+			t.Errorf("%d refused, want none", n)
+		}
+	})
+}
+
+// One team sends many times its rate.
+func TestHotTeam(t *testing.T) {
+	for _, rate := range []float64{60, 115, 230} {
+		rng := rand.New(rand.NewPCG(2, 1))
+		f := newFleet(9, limit)
+		f.play(rng, 0, 5*time.Second, 15, f.anyVM(rng))
+		f.play(rng, 5*time.Second, 15*time.Second, rate, f.anyVM(rng))
+		f.assertBound(t)
+		if n := total(f.admitted[100:150]); float64(n) < 0.85*5*limit.Rate {
+			t.Errorf("rate %v: %d admitted in five seconds, want close to %v", rate, n, 5*limit.Rate)
+		}
+	}
+}
+
+// A third of the VMs is cut off while a team presses.
+func TestCut(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 1))
+	f := newFleet(9, limit)
+	f.play(rng, 0, 5*time.Second, 115, f.anyVM(rng))
+	f.cut[0], f.cut[1], f.cut[2] = true, true, true
+	f.play(rng, 5*time.Second, 11*time.Second, 115, f.anyVM(rng))
+	f.cut = map[int]bool{}
+	f.play(rng, 11*time.Second, 16*time.Second, 115, f.anyVM(rng))
+	f.assertBound(t)
+}
+
+// VMs restart one after the other while a team presses; each starts with nothing and hears the others.
+func TestRestarts(t *testing.T) {
+	rng := rand.New(rand.NewPCG(4, 1))
+	f := newFleet(9, limit)
+	f.play(rng, 0, 6*time.Second, 115, f.anyVM(rng))
+	for i := range 9 {
+		at := 6*time.Second + time.Duration(i)*time.Second
+		f.vms[i] = quota.New(start.Add(at))
+		f.names[i] += "'"
+		f.vms[i].SetLimits(start.Add(at), map[ident.Team]quota.Limit{team: limit})
+		f.play(rng, at, at+time.Second, 115, f.anyVM(rng))
+	}
+	f.assertBound(t)
+}
+
+func TestSetLimits(t *testing.T) {
+	t.Run("lowers a rate at once", func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(5, 1))
+		f := newFleet(9, limit)
+		f.play(rng, 0, 5*time.Second, 60, f.anyVM(rng))
+		f.limit = quota.Limit{Rate: 4, Burst: 4}
+		for _, q := range f.vms {
+			q.SetLimits(start.Add(5*time.Second), map[ident.Team]quota.Limit{team: f.limit})
+		}
+		f.admitted, f.refused = nil, nil
+		f.play(rng, 5*time.Second, 15*time.Second, 60, f.anyVM(rng))
+		f.admitted = f.admitted[100:]
+		f.assertBound(t)
+	})
+	t.Run("without a rate admits all", func(t *testing.T) {
+		q := quota.New(start)
+		q.SetLimits(start, map[ident.Team]quota.Limit{team: {}})
+		for range 1000 {
+			if ok, _ := q.Admit(start, team); !ok {
+				t.Fatal("refused, though the team has no limit")
+			}
+		}
+	})
+}
+
+func TestAdmit(t *testing.T) {
+	t.Run("says when to come back", func(t *testing.T) {
+		q := quota.New(start.Add(-time.Minute))
+		q.SetLimits(start, map[ident.Team]quota.Limit{team: {Rate: 10, Burst: 1}})
+		q.Admit(start, team)
+		ok, again := q.Admit(start, team)
+		if ok || again < 90*time.Millisecond || again > 120*time.Millisecond {
+			t.Errorf("admitted %v, again after %v; want no, and about 100 ms", ok, again)
+		}
+	})
+}
--- /dev/null
+++ b/internal/limit/repeat/repeat_test.go
@@ -0,0 +1,92 @@
+package repeat_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/limit/repeat"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	terms = repeat.Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+)
+
+func take(b *repeat.Budget, now time.Time, members int) int {
+	n := 0
+	for range 1000 {
+		if b.Take(now, "books", members) {
+			n++
+		}
+	}
+	return n
+}
+
+func assertTaken(t *testing.T, got, least, most int) {
+	t.Helper()
+	if got < least || got > most {
+		t.Errorf("%d repeats were allowed, want %d to %d", got, least, most)
+	}
+}
+
+func TestTake(t *testing.T) {
+	t.Run("gives a VM its part of the slack", func(t *testing.T) {
+		assertTaken(t, take(repeat.New(terms), start, 10), 3, 5)
+	})
+	t.Run("gives a share of the first requests", func(t *testing.T) {
+		b := repeat.New(terms)
+		for range 500 {
+			b.First(start, "books")
+		}
+		assertTaken(t, take(b, start, 1000), 70, 100)
+	})
+	t.Run("counts each service alone", func(t *testing.T) {
+		b := repeat.New(terms)
+		for range 500 {
+			b.First(start, "bikes")
+		}
+		assertTaken(t, take(b, start, 1000), 0, 0)
+	})
+	t.Run("begins again when the window has passed", func(t *testing.T) {
+		b := repeat.New(terms)
+		take(b, start, 1)
+		assertTaken(t, take(b, start.Add(5*time.Second), 1), 0, 0)
+		assertTaken(t, take(b, start.Add(10*time.Second), 1), 35, 45)
+	})
+}
+
+// Nine VMs meet servers that are all slow, and each wants to repeat every request: together they stay within the bound
+// in every window.
+func TestAllSlow(t *testing.T) {
+	const members, rate, seconds = 9, 10, 60
+	rng := rand.New(rand.NewPCG(1, 1))
+	var first, repeats [seconds * 10]int
+	budgets := make([]*repeat.Budget, members)
+	for i := range budgets {
+		budgets[i] = repeat.New(terms)
+	}
+	for step := range first {
+		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+		for _, b := range budgets {
+			if rng.Float64() > rate/10.0*1.2 {
+				continue
+			}
+			b.First(now, "books")
+			first[step]++
+			if b.Take(now, "books", members) {
+				repeats[step]++
+			}
+		}
+	}
+	for from := range len(first) - 100 {
+		f, r := 0, 0
+		for i := from; i < from+100; i++ {
+			f += first[i]
+			r += repeats[i]
+		}
+		if float64(r) > terms.Ratio*float64(f)+terms.Slack {
+			t.Fatalf("from %d: %d repeats of %d requests", from, r, f)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tier/direct/direct_test.go
@@ -0,0 +1,81 @@
+package direct_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/direct"
+)
+
+var servers = map[ident.Domain]int{"north": 20, "south": 20, "east": 2}
+
+// vms returns some VMs of a power in a domain, named after it.
+func vms(domain ident.Domain, n int, power float64) []direct.VM {
+	var out []direct.VM
+	for i := range n {
+		name := fmt.Sprintf("%s%d", domain, i)
+		out = append(out, direct.VM{Name: ident.VM(name), Domain: domain, Address: name, Power: power})
+	}
+	return out
+}
+
+func count(addresses []string, prefix string) int {
+	n := 0
+	for _, a := range addresses {
+		if len(a) > len(prefix) && a[:len(prefix)] == prefix {
+			n++
+		}
+	}
+	return n
+}
+
+func assertCount(t *testing.T, addresses []string, prefix string, want int) {
+	t.Helper()
+	if got := count(addresses, prefix); got != want {
+		t.Errorf("%v names %d of %s, want %d", addresses, got, prefix, want)
+	}
+}
+
+func TestChoose(t *testing.T) {
+	t.Run("names VMs near to the servers, turn by turn", func(t *testing.T) {
+		got := direct.Choose(slices.Concat(vms("east", 9, 1), vms("north", 3, 1), vms("south", 3, 1)), servers)
+		assertCount(t, got, "north", 2)
+		assertCount(t, got, "south", 2)
+		assertCount(t, got, "east", 0)
+	})
+	t.Run("names the strongest first", func(t *testing.T) {
+		weak := vms("north", 8, 0.2)
+		strong := vms("south", 4, 0.8)
+		assertCount(t, direct.Choose(slices.Concat(weak, strong), servers), "south", 4)
+	})
+	t.Run("names as many as the load needs", func(t *testing.T) {
+		all := vms("north", 20, 0.5)
+		for i := range all {
+			all[i].Load = 0.075
+		}
+		assertCount(t, direct.Choose(all, servers), "north", 10)
+	})
+	t.Run("names the others when the near ones are not enough", func(t *testing.T) {
+		got := direct.Choose(slices.Concat(vms("east", 3, 1), vms("north", 2, 1)), servers)
+		assertCount(t, got, "north", 2)
+		assertCount(t, got, "east", 2)
+	})
+	t.Run("gives the same answer from the same news in any order", func(t *testing.T) {
+		all := slices.Concat(vms("north", 5, 1), vms("south", 5, 0.5))
+		want := direct.Choose(all, servers)
+		slices.Reverse(all)
+		if got := direct.Choose(all, servers); !slices.Equal(got, want) {
+			t.Errorf("named %v, and %v in another order", want, got)
+		}
+	})
+	t.Run("names nobody when none is ready", func(t *testing.T) {
+		if got := direct.Choose(nil, servers); len(got) != 0 {
+			t.Errorf("named %v", got)
+		}
+	})
+	t.Run("holds when no server is known", func(t *testing.T) {
+		assertCount(t, direct.Choose(vms("north", 2, 1), nil), "north", 2)
+	})
+}
--- a/internal/tier/gather/gather.go
+++ b/internal/tier/gather/gather.go
@@ -141,6 +141,8 @@
 		}
 	}
 	if !s.reachable() {
+		// Nothing has been sent yet, and nothing will be.
+		clear(s.shards)
 		s.finish(ReasonUnreachable)
 		return nil
 	}
--- /dev/null
+++ b/internal/tier/gather/gather_test.go
@@ -0,0 +1,246 @@
+package gather_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/gather"
+)
+
+var start = time.Unix(1000, 0)
+
+// stock is a chooser with two servers for each service and a number of repeats.
+type stock struct {
+	repeats int
+	gone    []ident.Service
+}
+
+func (s *stock) Choose(_ time.Time, service ident.Service, exclude []ident.Server) (ident.Server, bool) {
+	if slices.Contains(s.gone, service) {
+		return "", false
+	}
+	for _, n := range []ident.Server{ident.Server(service) + "-1", ident.Server(service) + "-2"} {
+		if !slices.Contains(exclude, n) {
+			return n, true
+		}
+	}
+	return "", false
+}
+
+func (s *stock) Repeat(time.Time, ident.Service) bool {
+	s.repeats--
+	return s.repeats >= 0
+}
+
+// spec is a query over four shards of which three are enough: due after 70 ms, over after 400.
+func spec() gather.Spec {
+	return gather.Spec{
+		Shards: []ident.Service{"a", "b", "c", "d"}, Attempts: 2, Idempotent: true, MinCoverage: 0.75,
+		Soft: after(70), Hard: after(400), Usual: 8 * time.Millisecond, Late: 16 * time.Millisecond,
+	}
+}
+
+func single(idempotent bool) gather.Spec {
+	s := spec()
+	s.Shards, s.MinCoverage, s.Idempotent = []ident.Service{"a"}, 1, idempotent
+	return s
+}
+
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func end(s *gather.State, c gather.Chooser, ms, shard, attempt int, v gather.Verdict) []gather.Send {
+	return s.Ended(after(ms), gather.Ended{Shard: shard, Attempt: attempt, Verdict: v}, c)
+}
+
+func assertServers(t *testing.T, sends []gather.Send, want ...ident.Server) {
+	t.Helper()
+	var got []ident.Server
+	for _, s := range sends {
+		got = append(got, s.Server)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("sent to %v, want %v", got, want)
+	}
+}
+
+func assertDone(t *testing.T, s *gather.State, want gather.Reason, enough bool) {
+	t.Helper()
+	got, done := s.Done()
+	if !done || got != want || s.Enough() != enough {
+		t.Errorf("done %v, %v, enough %v; want %v, %v", done, got, s.Enough(), want, enough)
+	}
+}
+
+func assertOpen(t *testing.T, s *gather.State) {
+	t.Helper()
+	if r, done := s.Done(); done {
+		t.Errorf("ended with %v, want it open", r)
+	}
+}
+
+func TestAnswer(t *testing.T) {
+	t.Run("is given when all parts are in", func(t *testing.T) {
+		c, s := &stock{}, gather.New(spec())
+		s.Start(start, c)
+		for i := range 4 {
+			assertOpen(t, s)
+			end(s, c, 10, i, 0, gather.VerdictAnswered)
+		}
+		assertDone(t, s, gather.ReasonComplete, true)
+	})
+	t.Run("is given in time with what is enough", func(t *testing.T) {
+		c, s := &stock{}, gather.New(spec())
+		s.Start(start, c)
+		for i := range 3 {
+			end(s, c, 10, i, 0, gather.VerdictAnswered)
+		}
+		s.Tick(after(69), c)
+		assertOpen(t, s)
+		s.Tick(after(70), c)
+		assertDone(t, s, gather.ReasonInTime, true)
+	})
+	t.Run("waits beyond its time for what is enough", func(t *testing.T) {
+		c, s := &stock{}, gather.New(spec())
+		s.Start(start, c)
+		for i := range 2 {
+			end(s, c, 10, i, 0, gather.VerdictAnswered)
+		}
+		s.Tick(after(70), c)
+		assertOpen(t, s)
+		end(s, c, 90, 2, 0, gather.VerdictAnswered)
+		assertDone(t, s, gather.ReasonInTime, true)
+	})
+	t.Run("fails at the deadline", func(t *testing.T) {
+		c, s := &stock{}, gather.New(spec())
+		s.Start(start, c)
+		s.Tick(after(400), c)
+		assertDone(t, s, gather.ReasonDeadline, false)
+		if !s.Ran() {
+			t.Error("open attempts count as not run")
+		}
+	})
+	t.Run("fails at once when too few shards have a server", func(t *testing.T) {
+		c, s := &stock{gone: []ident.Service{"a", "b"}}, gather.New(spec())
+		assertServers(t, s.Start(start, c))
+		assertDone(t, s, gather.ReasonUnreachable, false)
+		if s.Ran() {
+			t.Error("ran, though nothing was sent")
+		}
+	})
+	t.Run("goes without a shard that has no server", func(t *testing.T) {
+		c, s := &stock{gone: []ident.Service{"a"}}, gather.New(spec())
+		s.Start(start, c)
+		for i := range 3 {
+			end(s, c, 10, i+1, 0, gather.VerdictAnswered)
+		}
+		assertDone(t, s, gather.ReasonInTime, true)
+	})
+}
+
+// Servers pause: a part that is late is sent to the other server while that can still answer in time.
+func TestHedge(t *testing.T) {
+	begun := func(c gather.Chooser) *gather.State {
+		s := gather.New(spec())
+		s.Start(start, c)
+		for i := range 3 {
+			end(s, c, 10, i, 0, gather.VerdictAnswered)
+		}
+		return s
+	}
+	t.Run("is sent when a part is late", func(t *testing.T) {
+		c := &stock{repeats: 1}
+		s := begun(c)
+		assertServers(t, s.Tick(after(17), c))
+		assertServers(t, s.Tick(after(18), c), "d-2")
+	})
+	t.Run("is announced", func(t *testing.T) {
+		s := begun(&stock{repeats: 1})
+		if at, ok := s.Next(after(10)); !ok || !at.Equal(start.Add(17600*time.Microsecond)) {
+			t.Errorf("wants to be driven at %v, want 17.6 ms", at.Sub(start))
+		}
+	})
+	t.Run("completes the answer, whichever comes first", func(t *testing.T) {
+		c := &stock{repeats: 1}
+		s := begun(c)
+		s.Tick(after(18), c)
+		end(s, c, 30, 3, 1, gather.VerdictAnswered)
+		assertDone(t, s, gather.ReasonComplete, true)
+	})
+	t.Run("is sent once, and not without budget", func(t *testing.T) {
+		c := &stock{repeats: 1}
+		s := begun(c)
+		s.Tick(after(18), c)
+		assertServers(t, s.Tick(after(50), c))
+		poor := &stock{}
+		s = begun(poor)
+		assertServers(t, s.Tick(after(18), poor))
+	})
+	t.Run("is not sent for a request that may run once", func(t *testing.T) {
+		c, s := &stock{repeats: 1}, gather.New(single(false))
+		s.Start(start, c)
+		assertServers(t, s.Tick(after(60), c))
+	})
+}
+
+func TestRetry(t *testing.T) {
+	t.Run("goes to another server at once", func(t *testing.T) {
+		c, s := &stock{repeats: 1}, gather.New(single(true))
+		s.Start(start, c)
+		assertServers(t, end(s, c, 5, 0, 0, gather.VerdictLost), "a-2")
+	})
+	t.Run("of a request that may run once needs proof that it has not run", func(t *testing.T) {
+		for _, v := range []gather.Verdict{gather.VerdictLost, gather.VerdictFailed} {
+			c, s := &stock{repeats: 1}, gather.New(single(false))
+			s.Start(start, c)
+			assertServers(t, end(s, c, 5, 0, 0, v))
+			assertDone(t, s, gather.ReasonUnreachable, false)
+		}
+		for _, v := range []gather.Verdict{gather.VerdictRefused, gather.VerdictMisplaced, gather.VerdictUnsent} {
+			c, s := &stock{repeats: 1}, gather.New(single(false))
+			s.Start(start, c)
+			assertServers(t, end(s, c, 5, 0, 0, v), "a-2")
+		}
+	})
+	t.Run("without an arrival costs no repeat", func(t *testing.T) {
+		c, s := &stock{}, gather.New(single(true))
+		s.Start(start, c)
+		assertServers(t, end(s, c, 5, 0, 0, gather.VerdictUnsent), "a-2")
+	})
+	t.Run("ends with the servers that it may run on", func(t *testing.T) {
+		c, s := &stock{repeats: 9}, gather.New(single(true))
+		s.Start(start, c)
+		end(s, c, 5, 0, 0, gather.VerdictFailed)
+		assertServers(t, end(s, c, 9, 0, 1, gather.VerdictFailed))
+		assertDone(t, s, gather.ReasonUnreachable, false)
+		if !s.Ran() {
+			t.Error("counts as not run after two failures")
+		}
+	})
+	t.Run("comes after a pause when all servers are full", func(t *testing.T) {
+		c, s := &stock{repeats: 9}, gather.New(single(true))
+		s.Start(start, c)
+		end(s, c, 5, 0, 0, gather.VerdictRefused)
+		assertServers(t, end(s, c, 6, 0, 1, gather.VerdictRefused))
+		assertOpen(t, s)
+		assertServers(t, s.Tick(after(14), c), "a-1")
+	})
+	t.Run("that is refused everywhere ends as not run", func(t *testing.T) {
+		c, s := &stock{repeats: 9}, gather.New(single(false))
+		s.Start(start, c)
+		for ms, attempt := 5, 0; ms < 400; ms++ {
+			if _, done := s.Done(); done {
+				break
+			}
+			if len(s.Tick(after(ms), c)) > 0 || attempt < 2 {
+				end(s, c, ms, 0, attempt, gather.VerdictRefused)
+				attempt++
+			}
+		}
+		assertDone(t, s, gather.ReasonUnreachable, false)
+		if s.Ran() {
+			t.Error("counts as run, though all servers refused it")
+		}
+	})
+}
--- /dev/null
+++ b/internal/tier/pace/pace_test.go
@@ -0,0 +1,52 @@
+package pace_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/tier/pace"
+)
+
+func assertNear(t *testing.T, what string, got, want, slack time.Duration) {
+	t.Helper()
+	if got < want-slack || got > want+slack {
+		t.Errorf("%s is %v, want %v give or take %v", what, got, want, slack)
+	}
+}
+
+func TestObserve(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var p pace.Pace
+	p.Start(50 * time.Millisecond)
+	for range 4000 {
+		p.Observe(time.Duration(rng.Float64() * float64(20*time.Millisecond)))
+	}
+	t.Run("finds the median", func(t *testing.T) {
+		assertNear(t, "median", p.Median(), 10*time.Millisecond, 3*time.Millisecond)
+	})
+	t.Run("finds where parts are late", func(t *testing.T) {
+		assertNear(t, "high", p.High(), 18600*time.Microsecond, 2*time.Millisecond)
+	})
+}
+
+func TestSpent(t *testing.T) {
+	t.Run("is what is missing from the longest time seen", func(t *testing.T) {
+		var p pace.Pace
+		p.Spent(250 * time.Millisecond)
+		assertNear(t, "spent", p.Spent(235*time.Millisecond), 15*time.Millisecond, time.Millisecond)
+	})
+	t.Run("is nothing for a small difference", func(t *testing.T) {
+		var p pace.Pace
+		p.Spent(1500 * time.Millisecond)
+		assertNear(t, "spent", p.Spent(1499*time.Millisecond), 0, 0)
+	})
+	t.Run("follows when callers begin with less", func(t *testing.T) {
+		var p pace.Pace
+		p.Spent(400 * time.Millisecond)
+		for range 12000 {
+			p.Spent(200 * time.Millisecond)
+		}
+		assertNear(t, "spent", p.Spent(200*time.Millisecond), 0, 0)
+	})
+}
--- /dev/null
+++ b/internal/tier/peers/peers_test.go
@@ -0,0 +1,116 @@
+package peers_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/peers"
+)
+
+var start = time.Unix(1000, 0)
+
+func word(vm ident.VM, boot, serial int64) peers.Message {
+	return peers.Message{From: peers.Digest{VM: vm, Address: "127.0.0.1", Boot: boot, Serial: serial, Phase: peers.PhaseReady}}
+}
+
+func assertAlive(t *testing.T, p *peers.Peers, now time.Time, want ...ident.VM) {
+	t.Helper()
+	var got []ident.VM
+	for _, m := range p.Alive(now) {
+		got = append(got, m.Digest().VM)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("alive are %v, want %v", got, want)
+	}
+}
+
+func assertFresh(t *testing.T, p *peers.Peers, now time.Time, m peers.Message, want bool) {
+	t.Helper()
+	if _, fresh := p.Heard(now, m); fresh != want {
+		t.Errorf("word of start %d, serial %d, counts %v, want %v", m.From.Boot, m.From.Serial, fresh, want)
+	}
+}
+
+func TestHeard(t *testing.T) {
+	t.Run("takes only newer words of a process", func(t *testing.T) {
+		p := peers.New("self")
+		assertFresh(t, p, start, word("a", 1, 5), true)
+		assertFresh(t, p, start, word("a", 1, 5), false)
+		assertFresh(t, p, start, word("a", 1, 4), false)
+		assertFresh(t, p, start, word("a", 1, 6), true)
+	})
+	t.Run("passes over the VM's own words", func(t *testing.T) {
+		assertFresh(t, peers.New("self"), start, word("self", 1, 1), false)
+	})
+	t.Run("passes over a straggler of the process before", func(t *testing.T) {
+		p := peers.New("self")
+		assertFresh(t, p, start, word("a", 2, 1), true)
+		assertFresh(t, p, start.Add(100*time.Millisecond), word("a", 1, 900), false)
+	})
+	t.Run("takes a new process whose clock was set back", func(t *testing.T) {
+		p := peers.New("self")
+		assertFresh(t, p, start, word("a", 2, 700), true)
+		assertFresh(t, p, start.Add(2*time.Second), word("a", 1, 1), true)
+	})
+}
+
+func TestAlive(t *testing.T) {
+	t.Run("ends after silence and returns with the next word", func(t *testing.T) {
+		p := peers.New("self")
+		p.Heard(start, word("a", 1, 1))
+		assertAlive(t, p, start.Add(time.Second), "a")
+		assertAlive(t, p, start.Add(2*time.Second))
+		events, _ := p.Heard(start.Add(2*time.Second), word("a", 1, 2))
+		if len(events) != 0 {
+			t.Errorf("told %v before the silence was noticed", events)
+		}
+		assertAlive(t, p, start.Add(2*time.Second), "a")
+	})
+	t.Run("ends with a process's last word", func(t *testing.T) {
+		p := peers.New("self")
+		p.Heard(start, word("a", 1, 1))
+		last := word("a", 1, 2)
+		last.From.Phase = peers.PhaseGone
+		p.Heard(start, last)
+		assertAlive(t, p, start)
+		if names := p.Names(); !slices.Equal(names, []ident.VM{"self"}) {
+			t.Errorf("the bounds are divided among %v, want the VM alone", names)
+		}
+	})
+}
+
+func TestTick(t *testing.T) {
+	t.Run("tells of silence once", func(t *testing.T) {
+		p := peers.New("self")
+		p.Heard(start, word("a", 1, 1))
+		if n := len(p.Tick(start.Add(2 * time.Second))); n != 1 {
+			t.Errorf("%d events, want one", n)
+		}
+		if n := len(p.Tick(start.Add(3 * time.Second))); n != 0 {
+			t.Errorf("%d events again, want none", n)
+		}
+	})
+	t.Run("counts a silent VM for a while, as it may spend its part", func(t *testing.T) {
+		p := peers.New("self")
+		p.Heard(start, word("a", 1, 1))
+		p.Tick(start.Add(5 * time.Second))
+		if n := len(p.Names()); n != 2 {
+			t.Errorf("the bounds are divided among %d, want 2", n)
+		}
+		p.Tick(start.Add(12 * time.Second))
+		if n := len(p.Names()); n != 1 {
+			t.Errorf("the bounds are divided among %d, want 1", n)
+		}
+	})
+	t.Run("remembers addresses that others told of", func(t *testing.T) {
+		p := peers.New("self")
+		m := word("a", 1, 1)
+		m.Known = []string{"127.0.0.9"}
+		p.Heard(start, m)
+		if got := p.Addresses(); !slices.Equal(got, []string{"127.0.0.1", "127.0.0.9"}) {
+			t.Errorf("addresses are %v", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/tier/roster/roster_test.go
@@ -0,0 +1,128 @@
+package roster_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(name ident.Server) roster.Entry {
+	return roster.Entry{Server: name, Service: "books", Address: "127.0.0.1:1", Domain: "north", Slots: 2, Started: 1}
+}
+
+func names(members []*roster.Member) []ident.Server {
+	var out []ident.Server
+	for _, m := range members {
+		out = append(out, m.Entry().Server)
+	}
+	return out
+}
+
+func assertCandidates(t *testing.T, r *roster.Roster, now time.Time, usable, spare []ident.Server) {
+	t.Helper()
+	u, s := r.Candidates(now, "books")
+	if !reflect.DeepEqual(names(u), usable) || !reflect.DeepEqual(names(s), spare) {
+		t.Errorf("candidates are %v and %v, want %v and %v", names(u), names(s), usable, spare)
+	}
+}
+
+func TestCandidates(t *testing.T) {
+	t.Run("are the servers that stay", func(t *testing.T) {
+		var r roster.Roster
+		r.Seen(start, entry("a"))
+		leaving := entry("b")
+		leaving.Leaving = true
+		r.Seen(start, leaving)
+		assertCandidates(t, &r, start, []ident.Server{"a"}, []ident.Server{"b"})
+	})
+	t.Run("leave out one that leaves after a second", func(t *testing.T) {
+		var r roster.Roster
+		leaving := entry("b")
+		leaving.Leaving = true
+		r.Seen(start, leaving)
+		assertCandidates(t, &r, start.Add(time.Second), nil, nil)
+	})
+	t.Run("count the time of leaving from its first notice", func(t *testing.T) {
+		var r roster.Roster
+		leaving := entry("b")
+		leaving.Leaving = true
+		r.Seen(start, leaving)
+		r.Seen(start.Add(900*time.Millisecond), leaving)
+		assertCandidates(t, &r, start.Add(1100*time.Millisecond), nil, nil)
+	})
+	t.Run("leave out a domain that is taken out, and take it back", func(t *testing.T) {
+		var r roster.Roster
+		r.Seen(start, entry("a"))
+		r.SetOut("north", true)
+		assertCandidates(t, &r, start, nil, nil)
+		r.SetOut("north", false)
+		assertCandidates(t, &r, start, []ident.Server{"a"}, nil)
+	})
+	t.Run("leave out a server that another has answered for until its next entry", func(t *testing.T) {
+		var r roster.Roster
+		r.Seen(start, entry("a"))
+		r.Wrong("a")
+		assertCandidates(t, &r, start, nil, nil)
+		r.Seen(start, entry("a"))
+		assertCandidates(t, &r, start, []ident.Server{"a"}, nil)
+	})
+}
+
+// Entries that lapse while the store is away come back within two seconds of its return.
+func TestLapse(t *testing.T) {
+	lapsed := func() *roster.Roster {
+		r := &roster.Roster{}
+		r.Seen(start, entry("a"))
+		r.Gone(start, "a")
+		return r
+	}
+	t.Run("leaves the server for work that no other can do", func(t *testing.T) {
+		assertCandidates(t, lapsed(), start.Add(time.Second), nil, []ident.Server{"a"})
+	})
+	t.Run("ends when the entry is back", func(t *testing.T) {
+		r := lapsed()
+		r.Seen(start.Add(time.Second), entry("a"))
+		assertCandidates(t, r, start.Add(5*time.Second), []ident.Server{"a"}, nil)
+	})
+	t.Run("is for good after two seconds", func(t *testing.T) {
+		r := lapsed()
+		if gone := r.Sweep(start.Add(2 * time.Second)); len(gone) != 1 {
+			t.Errorf("swept %v, want one server", gone)
+		}
+		assertCandidates(t, r, start.Add(2*time.Second), nil, nil)
+	})
+	t.Run("of a server that had said it leaves is for good at once", func(t *testing.T) {
+		var r roster.Roster
+		leaving := entry("a")
+		leaving.Leaving = true
+		r.Seen(start, leaving)
+		r.Gone(start, "a")
+		assertCandidates(t, &r, start, nil, nil)
+	})
+}
+
+func TestSeen(t *testing.T) {
+	t.Run("tells a new start under an old name", func(t *testing.T) {
+		var r roster.Roster
+		again := entry("a")
+		again.Started = 2
+		if !r.Seen(start, entry("a")) || r.Seen(start, entry("a")) || !r.Seen(start, again) {
+			t.Error("new starts are not told from entries that change")
+		}
+	})
+	t.Run("keeps a server cold for the time that it names", func(t *testing.T) {
+		var r roster.Roster
+		cold := entry("a")
+		cold.ColdFor = time.Second
+		r.Seen(start, cold)
+		r.Seen(start.Add(500*time.Millisecond), entry("a"))
+		if m := r.Member("a"); !m.Cold(start.Add(900*time.Millisecond)) || m.Cold(start.Add(time.Second)) {
+			t.Error("the server is not cold for one second")
+		}
+	})
+}
--- /dev/null
+++ b/internal/tier/table/table_test.go
@@ -0,0 +1,95 @@
+package table_test
+
+import (
+	"testing"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/table"
+)
+
+func sample() *table.Table {
+	priority := 0
+	return table.New(table.Text{
+		Version: 7,
+		Routes: []table.RouteText{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Service: "books", Priority: 3},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Shards: []ident.Service{"s1", "s2"}},
+			{Name: "split", Host: "b.example", Prefix: "/", Split: []table.Share{{"old", 3}, {"new", 1}}},
+		},
+		Teams: []table.TeamText{{Name: "tailors", Keys: []string{"k1", "k2"}, Priority: &priority}, {Name: "halls"}},
+	})
+}
+
+func assertRoute(t *testing.T, host, path string, want ident.Route) {
+	t.Helper()
+	var got ident.Route
+	if r := sample().Match(host, path); r != nil {
+		got = r.Name()
+	}
+	if got != want {
+		t.Errorf("%s%s matches %q, want %q", host, path, got, want)
+	}
+}
+
+func TestMatch(t *testing.T) {
+	t.Run("takes the longest prefix", func(t *testing.T) {
+		assertRoute(t, "a.example", "/x/y/1", "long")
+		assertRoute(t, "a.example", "/x/z", "short")
+	})
+	t.Run("keeps to the host", func(t *testing.T) {
+		assertRoute(t, "b.example", "/x/z", "split")
+		assertRoute(t, "c.example", "/x/z", "")
+	})
+	t.Run("needs the whole prefix", func(t *testing.T) {
+		assertRoute(t, "a.example", "/x", "")
+	})
+}
+
+func TestChoose(t *testing.T) {
+	r := sample().Match("b.example", "/")
+	counts := make(map[ident.Service]int)
+	for i := range 1000 {
+		counts[r.Choose(float64(i)/1000)]++
+	}
+	if counts["old"] != 750 || counts["new"] != 250 {
+		t.Errorf("shares are %v, want 750 and 250", counts)
+	}
+}
+
+func TestHolder(t *testing.T) {
+	b := sample()
+	t.Run("knows each key of a team", func(t *testing.T) {
+		for _, k := range []string{"k1", "k2"} {
+			if h := b.Holder(k); h == nil || h.Name() != "tailors" {
+				t.Errorf("key %s is held by %v", k, h)
+			}
+		}
+	})
+	t.Run("knows no other", func(t *testing.T) {
+		if h := b.Holder(""); h != nil {
+			t.Errorf("the empty key is held by %s", h.Name())
+		}
+	})
+	t.Run("puts the team's priority before the route's", func(t *testing.T) {
+		r := b.Match("a.example", "/x/z")
+		if got := b.Holder("k1").Rank(r); got != 0 {
+			t.Errorf("rank is %d, want 0", got)
+		}
+		if got := b.Team("halls").Rank(r); got != 3 {
+			t.Errorf("rank is %d, want the route's 3", got)
+		}
+	})
+}
+
+func TestRouted(t *testing.T) {
+	want := []ident.Service{"books", "new", "old", "s1", "s2"}
+	got := sample().Routed()
+	if len(got) != len(want) {
+		t.Fatalf("routed services are %v, want %v", got, want)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("routed services are %v, want %v", got, want)
+		}
+	}
+}
