edge, peers: let a core of VMs tell each other all, the others a few of it

Cause: with 81 VMs each one was heard from every 5 s on average, so most counted as silent; callers were sent to small VMs, and 16 VMs and more read the store. Ruled out: cost of a part (p50 of quick-match 50 ms on large and small VMs together, 40 ms on large ones alone). Change: the 12 VMs that callers are sent to first tell each other all; the others ask two of them and hear of the core in the answer; only the core watches the store; news is sent compressed.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
@@ -123,6 +124,31 @@
 	return false
 }
 
+// Levels returns the teams that have little left, with their tokens.
+func (q *Quota) Levels(now time.Time) map[ident.Team]float64 {
+	out := make(map[ident.Team]float64)
+	for name, t := range q.teams {
+		if t.limit.Rate <= 0 || now.Sub(t.usedAt) >= assumeMost {
+			continue
+		}
+		t.accrue(now)
+		if level := t.level - t.assumed(now); level < tightShare*t.limit.Burst {
+			out[name] = math.Floor(level)
+		}
+	}
+	return out
+}
+
+// Adopt takes tokens that another VM sees, where they are fewer: it has heard from more VMs.
+func (q *Quota) Adopt(now time.Time, levels map[ident.Team]float64) {
+	for name, level := range levels {
+		if t := q.teams[name]; t != nil {
+			t.accrue(now)
+			t.level = min(t.level, max(level, -t.limit.Burst))
+		}
+	}
+}
+
 // Reports returns what to tell others: the teams whose requests this VM has let through within a span.
 func (q *Quota) Reports(now time.Time, within time.Duration) map[ident.Team]Report {
 	out := make(map[ident.Team]Report)
--- a/internal/tier/direct/direct.go
+++ b/internal/tier/direct/direct.go
@@ -30,7 +30,7 @@
 
 // Choose returns the addresses for callers, given the number of backend servers in each failure domain.
 func Choose(vms []VM, servers map[ident.Domain]int) []string {
-	ranked := rank(vms, servers)
+	ranked := Rank(vms, servers)
 	load := 0.0
 	for _, vm := range vms {
 		load += vm.Load
@@ -47,8 +47,8 @@
 	return out
 }
 
-// rank orders VMs: those near to the servers first, then the strongest, turn by turn over the domains.
-func rank(vms []VM, servers map[ident.Domain]int) []VM {
+// Rank orders VMs: those near to the servers first, then the strongest, turn by turn over the domains.
+func Rank(vms []VM, servers map[ident.Domain]int) []VM {
 	top := 0
 	for _, n := range servers {
 		top = max(top, n)
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/tier/direct"
 	"kumquatreel.example/kumquatreel/internal/tier/mirror"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
@@ -26,10 +28,13 @@
 	calmPeriods  = 2
 	// knownPeriods is how many heartbeats pass between two that tell of other VMs.
 	knownPeriods = 10
-	// gossipAll is the largest fleet in which each VM tells all others; in larger ones it tells a few each time.
-	gossipAll = 12
-	// gossipFew is how many are told each time in a larger fleet.
-	gossipFew = 6
+	// coreSize is how many VMs, those that callers are sent to first, tell each other all; in a larger fleet the others
+	// tell two of them, and hear of the rest in the answer.
+	coreSize = 12
+	// outerTells is how many of the core a VM outside it tells at a time.
+	outerTells = 2
+	// coreFresh is how long ago a VM may have been heard from to count for the core.
+	coreFresh = 4 * time.Second
 	// knownMost bounds the addresses told in a heartbeat.
 	knownMost = 8
 	// datagramMost is the largest heartbeat in bytes.
@@ -144,29 +149,93 @@
 
 // tell sends a heartbeat to other VMs; with reply set it asks them to answer at once.
 func (e *Edge) tell(reply bool) {
-	now := time.Now()
-	m := peers.Message{From: e.digest(now), Reply: reply}
-	f := e.fleet
-	f.mu.Lock()
-	f.serial++
-	m.From.Serial = f.serial
-	all := f.peers.Addresses()
-	f.mu.Unlock()
-	targets := e.targets(all)
+	m, all := e.message(time.Now())
+	core, inside := e.core()
+	m.Reply = reply || !inside
 	if reply || m.From.Serial%knownPeriods == 0 {
 		m.Known = e.sample(all, knownMost)
 	}
-	for _, to := range targets {
+	for _, to := range e.targets(all, core, inside) {
 		e.post(m, to)
 	}
 }
 
-// targets returns the addresses to send to: all in a small fleet, a few in a large one, and seeds until others are known.
-func (e *Edge) targets(all []string) []string {
+// message returns a heartbeat and the addresses of all that are known.
+func (e *Edge) message(now time.Time) (peers.Message, []string) {
+	m := peers.Message{From: e.digest(now)}
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.fleet.serial++
+	m.From.Serial = e.fleet.serial
+	return m, e.fleet.peers.Addresses()
+}
+
+// reply returns what a VM that asked is told: outside the core, also what is heard from the core.
+func (e *Edge) reply(now time.Time, to ident.VM) peers.Message {
+	m, all := e.message(now)
+	m.Known = e.sample(all, knownMost)
+	core, _ := e.core()
+	if _, ok := core[to]; ok {
+		return m
+	}
+	e.fleet.mu.Lock()
+	for _, member := range e.fleet.peers.Members() {
+		d := member.Digest()
+		if _, ok := core[d.VM]; ok && d.VM != to {
+			d.Teams = nil
+			m.Relayed = append(m.Relayed, peers.Relay{Digest: d, AgoMs: now.Sub(member.Heard()).Milliseconds()})
+		}
+	}
+	e.fleet.mu.Unlock()
+	e.quotaMu.Lock()
+	m.Levels = e.quota.Levels(now)
+	e.quotaMu.Unlock()
+	return m
+}
+
+// core returns the addresses of the VMs that tell each other all, and whether this VM is one of them.
+func (e *Edge) core() (map[ident.VM]string, bool) {
+	now := time.Now()
 	s := e.settings.Load()
-	out := slices.Clone(all)
-	if len(out) > gossipAll && !e.leaving.Load() {
-		out = e.sample(out, gossipFew)
+	vms := []direct.VM{{Name: s.Name(), Domain: s.Domain(), Address: s.Address(), Power: s.CPUShare()}}
+	e.fleet.mu.Lock()
+	for _, m := range e.fleet.peers.Members() {
+		if d := m.Digest(); d.Phase != peers.PhaseGone && now.Sub(m.Heard()) < coreFresh {
+			vms = append(vms, direct.VM{Name: d.VM, Domain: d.Domain, Address: d.Address, Power: d.Power})
+		}
+	}
+	e.fleet.mu.Unlock()
+	ranked := direct.Rank(vms, e.serversByDomain())
+	core := make(map[ident.VM]string, coreSize)
+	for _, vm := range ranked[:min(coreSize, len(ranked))] {
+		core[vm.Name] = vm.Address
+	}
+	_, inside := core[s.Name()]
+	return core, inside
+}
+
+func (e *Edge) serversByDomain() map[ident.Domain]int {
+	e.dispatch.mu.Lock()
+	defer e.dispatch.mu.Unlock()
+	return e.dispatch.roster.Domains()
+}
+
+// targets returns the addresses to send to: inside the core the rest of it, outside a few of it, all when the VM leaves,
+// and seeds until others are known.
+func (e *Edge) targets(all []string, core map[ident.VM]string, inside bool) []string {
+	s := e.settings.Load()
+	out := make([]string, 0, len(core)+len(s.Seeds()))
+	for _, address := range core {
+		if address != s.Address() {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	switch {
+	case e.leaving.Load():
+		out = slices.Clone(all)
+	case !inside:
+		out = e.sample(out, outerTells)
 	}
 	if len(all) < len(s.Seeds()) || e.fleet.random() < seedShare {
 		for _, seed := range s.Seeds() {
@@ -249,27 +318,17 @@
 	}
 	e.quotaMu.Lock()
 	e.quota.Heard(now, m.From.Process(), m.From.Teams)
+	e.quota.Adopt(now, m.Levels)
 	e.quotaMu.Unlock()
 	e.noteMembers(events)
 	if m.Reply {
-		e.post(e.message(now), m.From.Address)
+		e.post(e.reply(now, m.From.VM), m.From.Address)
 	}
 	if m.From.Revision > e.revision() {
 		e.fetchSoon(m.From)
 	}
 }
 
-func (e *Edge) message(now time.Time) peers.Message {
-	m := peers.Message{From: e.digest(now)}
-	e.fleet.mu.Lock()
-	e.fleet.serial++
-	m.From.Serial = e.fleet.serial
-	all := e.fleet.peers.Addresses()
-	e.fleet.mu.Unlock()
-	m.Known = e.sample(all, knownMost)
-	return m
-}
-
 // fetchSoon fetches news from a VM that has more, unless that is going on.
 func (e *Edge) fetchSoon(from peers.Digest) {
 	e.fleet.mu.Lock()
@@ -340,7 +399,9 @@
 		n.Items = slices.DeleteFunc(n.Items, func(it mirror.Item) bool { return it.Removed })
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(n); err != nil {
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	if err := errors.Join(json.NewEncoder(z).Encode(n), z.Close()); err != nil {
 		e.log.Warn(partFleet, "news cannot be told", "error", err.Error())
 	}
 }
@@ -369,10 +430,7 @@
 			})
 		}
 	}
-	e.dispatch.mu.Lock()
-	servers := e.dispatch.roster.Domains()
-	e.dispatch.mu.Unlock()
-	return direct.Choose(ready, servers)
+	return direct.Choose(ready, e.serversByDomain())
 }
 
 // keep returns how long a caller may keep a directory answer.
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -33,13 +33,16 @@
 	idleCheck = 200 * time.Millisecond
 	// joinWait is how long a new VM waits to hear news from others before it reads the store itself.
 	joinWait = 250 * time.Millisecond
+	// joinMost is how long a new VM whose turn it is not waits for news before it reads the store all the same.
+	joinMost = 1200 * time.Millisecond
 )
 
 // read keeps the mirror up to date: from the store where it is this VM's turn, else from other VMs.
 func (e *Edge) read(ctx context.Context) {
 	clock.Sleep(ctx, joinWait)
 	for ctx.Err() == nil {
-		if e.revision() > 0 && !e.myTurn(time.Now()) {
+		waits := e.revision() > 0 || time.Since(e.started) < joinMost
+		if waits && !e.myTurn(time.Now()) {
 			e.setReading(false, nil)
 			clock.Sleep(ctx, idleCheck)
 			continue
@@ -91,22 +94,29 @@
 	return nil
 }
 
-// myTurn reports whether this VM should watch the store: it is among the first by rank of those that live, or nobody is watching.
+// myTurn reports whether this VM should watch the store: it is among the first by rank of the core, or nobody who lives is watching.
 func (e *Edge) myTurn(now time.Time) bool {
 	self := e.settings.Load().Name()
-	names := []ident.VM{self}
+	core, inside := e.core()
+	var names []ident.VM
+	if inside {
+		names = append(names, self)
+	}
 	watching := false
 	e.fleet.mu.Lock()
 	for _, m := range e.fleet.peers.Alive(now) {
 		d := m.Digest()
-		if d.Phase != peers.PhaseLeaving {
+		if _, ok := core[d.VM]; ok && d.Phase != peers.PhaseLeaving {
 			names = append(names, d.VM)
 		}
 		watching = watching || d.Reading
 	}
 	e.fleet.mu.Unlock()
+	if !watching && e.revision() > 0 {
+		return true
+	}
 	ranked := ident.Rank("reader", names)
-	return !watching || slices.Contains(ranked[:min(readers, len(ranked))], self)
+	return slices.Contains(ranked[:min(readers, len(ranked))], self)
 }
 
 func (e *Edge) setReading(reading bool, err error) {
--- a/internal/tier/mirror/mirror_test.go
+++ b/internal/tier/mirror/mirror_test.go
@@ -72,8 +72,12 @@
 // Two copies that hear the same changes in any order and with repeats end alike.
 func TestOrder(t *testing.T) {
 	changes := []mirror.Item{
-		{Key: "a", Revision: 1}, {Key: "b", Revision: 2}, {Key: "a", Revision: 3, Removed: true}, {Key: "a", Revision: 5},
-		{Key: "b", Revision: 6, Removed: true}, {Key: "c", Revision: 7},
+		{Key: "a", Revision: 1},
+		{Key: "b", Revision: 2},
+		{Key: "a", Revision: 3, Removed: true},
+		{Key: "a", Revision: 5},
+		{Key: "b", Revision: 6, Removed: true},
+		{Key: "c", Revision: 7},
 	}
 	var want mirror.Mirror
 	want.Merge(changes, 0, 7)
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -65,6 +65,16 @@
 	Known []string `json:"k,omitempty"`
 	// Reply asks for an answer, as a new process does.
 	Reply bool `json:"a,omitempty"`
+	// Relayed is what the sender has heard from the VMs that callers are sent to, in an answer to one that is not.
+	Relayed []Relay `json:"y,omitempty"`
+	// Levels are the tokens of teams that have little left, in such an answer.
+	Levels map[ident.Team]float64 `json:"l,omitempty"`
+}
+
+// Relay is a digest that another VM has heard, and how long ago.
+type Relay struct {
+	Digest Digest `json:"d"`
+	AgoMs  int64  `json:"m"`
 }
 
 // Member is another VM as it was last heard from.
@@ -128,12 +138,21 @@
 // Heard takes a message and returns what it changes, and false when it is old or the VM's own.
 func (p *Peers) Heard(now time.Time, m Message) ([]Event, bool) {
 	d := m.From
-	if d.VM == p.self || d.VM == "" {
-		return nil, false
-	}
 	for _, a := range m.Known {
 		p.hints[a] = now
 	}
+	events, fresh := p.heard(now, d)
+	for _, r := range m.Relayed {
+		more, _ := p.heard(now.Add(-time.Duration(r.AgoMs)*time.Millisecond), r.Digest)
+		events = append(events, more...)
+	}
+	return events, fresh
+}
+
+func (p *Peers) heard(now time.Time, d Digest) ([]Event, bool) {
+	if d.VM == p.self || d.VM == "" {
+		return nil, false
+	}
 	old := p.members[d.VM]
 	if old != nil && old.supersedes(now, d) {
 		return nil, false
