peers: decide whom to tell without I/O, and let the core meet through relays

What each VM believed of the team's tokens showed that VMs other than the seeds heard only the seeds: a VM of the core told only those it had heard from, and an address that it was only told of was never tried. Ruled out: the rate or the lag of news (VMs that heard all kept to the rate; two that did not took a whole rate each). Change: circle.go decides core, targets and relays; answers always carry what was heard of the core; strangers are tried; a VM of the core asks now and then. TestMeet (3 to 81 VMs, seeds lost, half of the core lost) failed first for VMs that come into the core together.

--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -28,13 +28,6 @@
 	calmPeriods  = 2
 	// knownPeriods is how many heartbeats pass between two that tell of other VMs.
 	knownPeriods = 10
-	// coreSize is how many VMs, those that callers are sent to first, tell each other all; in a larger fleet the others
-	// tell two of them, and hear of the rest in the answer.
-	coreSize = 12
-	// outerTells is how many of the core a VM outside it tells at a time.
-	outerTells = 2
-	// coreFresh is how long ago a VM may have been heard from to count for the core.
-	coreFresh = 4 * time.Second
 	// knownMost bounds the addresses told in a heartbeat.
 	knownMost = 8
 	// datagramMost is the largest heartbeat in bytes.
@@ -149,69 +142,66 @@
 
 // tell sends a heartbeat to other VMs; with reply set it asks them to answer at once.
 func (e *Edge) tell(reply bool) {
-	m, all := e.message(time.Now())
-	core, inside := e.core()
-	m.Reply = reply || !inside
+	c := e.circle()
+	m := e.message(time.Now())
+	f := e.fleet
+	f.mu.Lock()
 	if reply || m.From.Serial%knownPeriods == 0 {
-		m.Known = e.sample(all, knownMost)
+		m.Known = f.peers.Known(knownMost, f.rng)
 	}
-	for _, to := range e.targets(all, core, inside) {
+	targets := f.peers.Targets(c, m.From, e.seedHosts(), f.rng)
+	f.mu.Unlock()
+	for i, to := range targets {
+		m.Reply = reply || c.Asks(m.From.Serial, i)
 		e.post(m, to)
 	}
 }
 
-// message returns a heartbeat and the addresses of all that are known.
-func (e *Edge) message(now time.Time) (peers.Message, []string) {
+// reply returns what a VM that asks is told, with what is heard from the core.
+func (e *Edge) reply(now time.Time, to ident.VM) peers.Message {
+	c := e.circle()
+	m := e.message(now)
+	e.fleet.mu.Lock()
+	m.Known = e.fleet.peers.Known(knownMost, e.fleet.rng)
+	m.Relayed = e.fleet.peers.Relays(now, c, to)
+	e.fleet.mu.Unlock()
+	if !c.Has(to) {
+		e.quotaMu.Lock()
+		m.Levels = e.quota.Levels(now)
+		e.quotaMu.Unlock()
+	}
+	return m
+}
+
+func (e *Edge) message(now time.Time) peers.Message {
 	m := peers.Message{From: e.digest(now)}
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
 	e.fleet.serial++
 	m.From.Serial = e.fleet.serial
-	return m, e.fleet.peers.Addresses()
-}
-
-// reply returns what a VM that asked is told: outside the core, also what is heard from the core.
-func (e *Edge) reply(now time.Time, to ident.VM) peers.Message {
-	m, all := e.message(now)
-	m.Known = e.sample(all, knownMost)
-	core, _ := e.core()
-	if _, ok := core[to]; ok {
-		return m
-	}
-	e.fleet.mu.Lock()
-	for _, member := range e.fleet.peers.Members() {
-		d := member.Digest()
-		if _, ok := core[d.VM]; ok && d.VM != to {
-			d.Teams = nil
-			m.Relayed = append(m.Relayed, peers.Relay{Digest: d, AgoMs: now.Sub(member.Heard()).Milliseconds()})
-		}
-	}
-	e.fleet.mu.Unlock()
-	e.quotaMu.Lock()
-	m.Levels = e.quota.Levels(now)
-	e.quotaMu.Unlock()
 	return m
 }
 
-// core returns the addresses of the VMs that tell each other all, and whether this VM is one of them.
-func (e *Edge) core() (map[ident.VM]string, bool) {
+// circle returns the core of the fleet: the VMs that callers are sent to first.
+func (e *Edge) circle() peers.Circle {
 	now := time.Now()
 	s := e.settings.Load()
-	vms := []direct.VM{{Name: s.Name(), Domain: s.Domain(), Address: s.Address(), Power: s.CPUShare()}}
+	self := peers.Digest{VM: s.Name(), Address: s.Address(), Domain: s.Domain(), Power: s.CPUShare()}
+	servers := e.serversByDomain()
 	e.fleet.mu.Lock()
-	for _, m := range e.fleet.peers.Members() {
-		if d := m.Digest(); d.Phase != peers.PhaseGone && now.Sub(m.Heard()) < coreFresh {
-			vms = append(vms, direct.VM{Name: d.VM, Domain: d.Domain, Address: d.Address, Power: d.Power})
+	defer e.fleet.mu.Unlock()
+	return e.fleet.peers.Circle(now, self, func(all []peers.Digest) []peers.Digest {
+		vms := make([]direct.VM, len(all))
+		byName := make(map[ident.VM]peers.Digest, len(all))
+		for i, d := range all {
+			vms[i] = direct.VM{Name: d.VM, Domain: d.Domain, Address: d.Address, Power: d.Power}
+			byName[d.VM] = d
 		}
-	}
-	e.fleet.mu.Unlock()
-	ranked := direct.Rank(vms, e.serversByDomain())
-	core := make(map[ident.VM]string, coreSize)
-	for _, vm := range ranked[:min(coreSize, len(ranked))] {
-		core[vm.Name] = vm.Address
-	}
-	_, inside := core[s.Name()]
-	return core, inside
+		for i, vm := range direct.Rank(vms, servers) {
+			all[i] = byName[vm.Name]
+		}
+		return all
+	})
 }
 
 func (e *Edge) serversByDomain() map[ident.Domain]int {
@@ -220,53 +210,15 @@
 	return e.dispatch.roster.Domains()
 }
 
-// targets returns the addresses to send to: inside the core the rest of it, outside a few of it, all when the VM leaves,
-// and seeds until others are known.
-func (e *Edge) targets(all []string, core map[ident.VM]string, inside bool) []string {
-	s := e.settings.Load()
-	out := make([]string, 0, len(core)+len(s.Seeds()))
-	for _, address := range core {
-		if address != s.Address() {
-			out = append(out, address)
-		}
-	}
-	slices.Sort(out)
-	switch {
-	case e.leaving.Load():
-		out = slices.Clone(all)
-	case !inside:
-		out = e.sample(out, outerTells)
-	}
-	if len(all) < len(s.Seeds()) || e.fleet.random() < seedShare {
-		for _, seed := range s.Seeds() {
-			if host, _, err := net.SplitHostPort(seed); err == nil {
-				out = append(out, host)
-			}
+// seedHosts returns the IP numbers of the seeds.
+func (e *Edge) seedHosts() []string {
+	var out []string
+	for _, seed := range e.settings.Load().Seeds() {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			out = append(out, host)
 		}
 	}
-	slices.Sort(out)
-	out = slices.Compact(out)
-	return slices.DeleteFunc(out, func(a string) bool { return a == s.Address() })
-}
-
-// seedShare of the heartbeats go to the seeds too, so that parts of a fleet that lost each other meet again.
-const seedShare = 0.1
-
-func (f *fleet) random() float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.rng.Float64()
-}
-
-func (e *Edge) sample(all []string, most int) []string {
-	out := slices.Clone(all)
-	if len(out) <= most {
-		return out
-	}
-	e.fleet.mu.Lock()
-	defer e.fleet.mu.Unlock()
-	e.fleet.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:most]
+	return out
 }
 
 func (e *Edge) post(m peers.Message, host string) {
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -97,16 +97,16 @@
 // myTurn reports whether this VM should watch the store: it is among the first by rank of the core, or nobody who lives is watching.
 func (e *Edge) myTurn(now time.Time) bool {
 	self := e.settings.Load().Name()
-	core, inside := e.core()
+	c := e.circle()
 	var names []ident.VM
-	if inside {
+	if c.Inside() {
 		names = append(names, self)
 	}
 	watching := false
 	e.fleet.mu.Lock()
 	for _, m := range e.fleet.peers.Alive(now) {
 		d := m.Digest()
-		if _, ok := core[d.VM]; ok && d.Phase != peers.PhaseLeaving {
+		if c.Has(d.VM) && d.Phase != peers.PhaseLeaving {
 			names = append(names, d.VM)
 		}
 		watching = watching || d.Reading
