quota: assume by demand what silent VMs let through, and charge it as time passes

What a VM had let through while it was cut off was taken at once from a bucket that had been full all the while, so the team owed seconds of its rate. Change: what others are assumed to let through is charged as time passes, by their share of the demand instead of by what they last let through, which alternates; what is heard later is set against it, for the last two seconds only. Tests: TestCutInRate failed first (90 refused, want none).

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -11,16 +11,24 @@
 const (
 	// assumeMost is how long a VM that is not heard from is taken to go on.
 	assumeMost = 8 * time.Second
-	// rateWeight is the weight of a new observation in the rate of another VM.
-	rateWeight = 0.5
+	// demandSpan is the time over which the demand for a team is averaged.
+	demandSpan = 2 * time.Second
 	// startLevel is the share of its burst that a team has at a VM which has just started.
 	startLevel = 0.4
 	// settle is the time after the start in which a VM takes over what others say of a team's level.
 	settle = time.Second
 	// tightShare of the burst is little.
 	tightShare = 0.7
-	// rateShare keeps the fleet a little below a team's rate.
-	rateShare = 0.98
+	// rateShare keeps the fleet a little below a team's rate. While a VM is silent, and perhaps gone with what it is taken
+	// to let through, silentShare makes up for it within what a team may overshoot.
+	rateShare   = 0.98
+	silentShare = 1.05
+	// silentAfter is how long after its last word a VM is silent.
+	silentAfter = 1500 * time.Millisecond
+	// countLast is how much of the time since a VM was last heard from counts when it is heard from again.
+	countLast = 2 * time.Second
+	// owedMost bounds what a team can owe, as time of its rate.
+	owedMost = 2 * time.Second
 )
 
 // Limit is a team's rate in requests per second, and its burst.
@@ -29,8 +37,10 @@
 	Burst float64
 }
 
-// Report is what a VM tells others of a team: how many requests it has let through since it started, and the level it sees.
+// Report is what a VM tells others of a team: how many requests it has been offered and has let through since it started,
+// and the level it sees.
 type Report struct {
+	Offered  int64   `json:"o"`
 	Admitted int64   `json:"a"`
 	Level    float64 `json:"l"`
 }
@@ -45,15 +55,22 @@
 	limit    Limit
 	level    float64
 	at       time.Time
+	offered  int64
 	admitted int64
 	usedAt   time.Time
-	others   map[ident.Process]*other
+	// demand is the rate of requests offered here.
+	demand float64
+	others map[ident.Process]*other
 }
 
 type other struct {
+	offered  int64
 	admitted int64
-	rate     float64
-	heard    time.Time
+	// demand is the rate of requests offered there.
+	demand float64
+	heard  time.Time
+	// charged is what was taken off for the VM since it was heard from, on the assumption that it goes on as before.
+	charged float64
 }
 
 // New returns a Quota without teams, for a VM that starts now.
@@ -92,9 +109,10 @@
 	}
 	t.accrue(now)
 	t.usedAt = now
-	room := t.level - t.assumed(now)
-	if room < 1 {
-		return false, time.Duration((1 - room) / t.limit.Rate * float64(time.Second))
+	t.offered++
+	t.demand += 1 / demandSpan.Seconds()
+	if t.level < 1 {
+		return false, time.Duration((1 - t.level) / t.limit.Rate * float64(time.Second))
 	}
 	t.level--
 	t.admitted++
@@ -108,7 +126,7 @@
 		return 0
 	}
 	t.accrue(now)
-	return t.level - t.assumed(now)
+	return t.level
 }
 
 // Tight reports whether some team has little left of its burst, so that what others let through matters soon.
@@ -116,7 +134,7 @@
 	for _, t := range q.teams {
 		if t.limit.Rate > 0 && now.Sub(t.usedAt) < assumeMost {
 			t.accrue(now)
-			if t.level-t.assumed(now) < tightShare*t.limit.Burst {
+			if t.level < tightShare*t.limit.Burst {
 				return true
 			}
 		}
@@ -132,8 +150,8 @@
 			continue
 		}
 		t.accrue(now)
-		if level := t.level - t.assumed(now); level < tightShare*t.limit.Burst {
-			out[name] = math.Floor(level)
+		if t.level < tightShare*t.limit.Burst {
+			out[name] = math.Floor(t.level)
 		}
 	}
 	return out
@@ -155,7 +173,7 @@
 	for name, t := range q.teams {
 		if t.limit.Rate > 0 && now.Sub(t.usedAt) < within {
 			t.accrue(now)
-			out[name] = Report{Admitted: t.admitted, Level: float64(int(t.level))}
+			out[name] = Report{Offered: t.offered, Admitted: t.admitted, Level: float64(int(t.level))}
 		}
 	}
 	return out
@@ -189,7 +207,7 @@
 		if !starting {
 			t.level -= float64(min(r.Admitted, int64(t.limit.Rate)))
 		}
-		t.others[from] = &other{admitted: r.Admitted, heard: now}
+		t.others[from] = &other{offered: r.Offered, admitted: r.Admitted, heard: now}
 		return
 	}
 	more := float64(r.Admitted - o.admitted)
@@ -198,24 +216,42 @@
 		return
 	}
 	if !starting {
-		t.level -= more
+		// What was let through long ago no longer counts, and the bucket could not have held what it was taken from.
+		t.level += (o.charged - more) * min(1, countLast.Seconds()/span)
+		t.bound()
 	}
-	weight := min(1, rateWeight*max(1, span/0.25))
-	o.rate += weight * (more/max(span, 0.05) - o.rate)
-	o.admitted, o.heard = r.Admitted, now
+	offered := float64(max(0, r.Offered-o.offered))
+	o.demand += (1 - math.Exp(-span/demandSpan.Seconds())) * (offered/max(span, 0.05) - o.demand)
+	o.offered, o.admitted, o.heard, o.charged = r.Offered, r.Admitted, now, 0
 }
 
-// assumed returns what others have let through since they were last heard from, if they go on as before.
-func (t *team) assumed(now time.Time) float64 {
-	sum := 0.0
+// accrue moves the level up to now: the rate comes in, and goes out what others let through if their callers go on as before.
+func (t *team) accrue(now time.Time) {
+	span := now.Sub(t.at).Seconds()
+	t.at = now
+	t.demand *= math.Exp(-span / demandSpan.Seconds())
 	maps.DeleteFunc(t.others, func(_ ident.Process, o *other) bool { return now.Sub(o.heard) > assumeMost })
+	rate, wanted := rateShare*t.limit.Rate, t.demand
+	for _, o := range t.others {
+		wanted += o.demand
+		if o.demand > 0 && now.Sub(o.heard) > silentAfter {
+			rate = silentShare * t.limit.Rate
+		}
+	}
+	// Beyond the rate, each VM gets its part by what its callers ask for.
+	part := 1.0
+	if wanted > rate {
+		part = rate / wanted
+	}
 	for _, o := range t.others {
-		sum += o.rate * now.Sub(o.heard).Seconds()
+		taken := part * o.demand * span
+		o.charged += taken
+		t.level -= taken
 	}
-	return sum
+	t.level += rate * span
+	t.bound()
 }
 
-func (t *team) accrue(now time.Time) {
-	t.level = min(t.limit.Burst, t.level+rateShare*t.limit.Rate*now.Sub(t.at).Seconds())
-	t.at = now
+func (t *team) bound() {
+	t.level = max(min(t.level, t.limit.Burst), -owedMost.Seconds()*t.limit.Rate)
 }
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -18,8 +18,9 @@
 	vms   []*quota.Quota
 	names []ident.Process
 	limit quota.Limit
-	// cut holds the VMs that neither hear nor are heard.
+	// cut holds the VMs that the others neither hear nor are heard by; with alone set they do not hear each other either.
 	cut      map[int]bool
+	alone    bool
 	admitted []int
 	refused  []int
 }
@@ -60,7 +61,7 @@
 	for i, from := range f.vms {
 		reports := from.Reports(now, 2*time.Second)
 		for j, to := range f.vms {
-			if i != j && !f.cut[i] && !f.cut[j] {
+			if i != j && f.cut[i] == f.cut[j] && (!f.cut[i] || !f.alone) {
 				to.Heard(now, f.names[i], reports)
 			}
 		}
@@ -117,16 +118,60 @@
 	}
 }
 
-// A third of the VMs is cut off while a team presses.
+// A third of the VMs is cut off while a team presses, from the first request on.
 func TestCut(t *testing.T) {
-	rng := rand.New(rand.NewPCG(3, 1))
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		f := newFleet(9, limit)
+		f.play(rng, 0, 5*time.Second, 115, f.anyVM(rng))
+		f.cut[0], f.cut[1], f.cut[2] = true, true, true
+		f.play(rng, 5*time.Second, 11*time.Second, 115, f.anyVM(rng))
+		f.cut = map[int]bool{}
+		f.play(rng, 11*time.Second, 16*time.Second, 115, f.anyVM(rng))
+		f.assertBound(t)
+	}
+}
+
+// Three VMs are cut off from all others, each alone, while a team presses harder and harder.
+func TestIslands(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 10))
+		f := newFleet(9, limit)
+		f.play(rng, 0, 3*time.Second, 15, f.anyVM(rng))
+		f.play(rng, 3*time.Second, 5*time.Second, 180, f.anyVM(rng))
+		f.alone = true
+		f.cut[0], f.cut[4], f.cut[8] = true, true, true
+		f.play(rng, 5*time.Second, 11*time.Second, 180, f.anyVM(rng))
+		f.cut = map[int]bool{}
+		f.play(rng, 11*time.Second, 18*time.Second, 180, f.anyVM(rng))
+		f.assertBound(t)
+	}
+}
+
+// A third of the VMs is cut off and comes back while a team stays within its rate.
+func TestCutInRate(t *testing.T) {
+	rng := rand.New(rand.NewPCG(6, 1))
 	f := newFleet(9, limit)
-	f.play(rng, 0, 5*time.Second, 115, f.anyVM(rng))
+	f.play(rng, 0, 5*time.Second, 15, f.anyVM(rng))
 	f.cut[0], f.cut[1], f.cut[2] = true, true, true
-	f.play(rng, 5*time.Second, 11*time.Second, 115, f.anyVM(rng))
+	f.play(rng, 5*time.Second, 12*time.Second, 15, f.anyVM(rng))
 	f.cut = map[int]bool{}
-	f.play(rng, 11*time.Second, 16*time.Second, 115, f.anyVM(rng))
-	f.assertBound(t)
+	f.play(rng, 12*time.Second, 20*time.Second, 15, f.anyVM(rng))
+	if n := total(f.refused); n > 0 {
+		t.Errorf("%d refused, want none", n)
+	}
+}
+
+// A third of the VMs goes for good, and its callers come to the others.
+func TestLoss(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 1))
+	f := newFleet(9, limit)
+	f.play(rng, 0, 5*time.Second, 15, f.anyVM(rng))
+	f.cut[0], f.cut[1], f.cut[2] = true, true, true
+	f.play(rng, 5*time.Second, 15*time.Second, 18, func() int { return 3 + rng.IntN(6) })
+	if n := total(f.refused); n > 0 {
+		t.Errorf("%d refused, want none", n)
+	}
 }
 
 // VMs restart one after the other while a team presses; each starts with nothing and hears the others.
