edge, place, direct: refuse what cannot be served in time, and leave out VMs that fail most requests

Ruled out: servers (they had refused 80 of 38000). Change: connections are divided among the VMs that serve; a server without a connection to spare, or with a queue longer than the request can bear, is no choice, so a query that cannot be served in time is refused before any part is sent; more urgent requests bear more; those refused come back spread out; a VM that fails most requests says so and is not named. Tests: TestWait, TestChoose.

--- a/internal/tier/direct/direct.go
+++ b/internal/tier/direct/direct.go
@@ -26,10 +26,15 @@
 	// Power is the VM's share of a core, Load how much of a core it spends on callers.
 	Power float64
 	Load  float64
+	// Unfit says that the VM fails most requests, as one does that is cut off from the servers.
+	Unfit bool
+	// Silent says that the VM has not been heard from for a while: it has failed, or this VM is cut off.
+	Silent bool
 }
 
 // Choose returns the addresses for callers, given the number of backend servers in each failure domain.
 func Choose(vms []VM, servers map[ident.Domain]int) []string {
+	vms = usable(vms)
 	ranked := Rank(vms, servers)
 	load := 0.0
 	for _, vm := range vms {
@@ -47,6 +52,21 @@
 	return out
 }
 
+// usable returns the VMs that callers may be sent to. A VM that fails most requests and does not hear others is taken to be
+// the one that is cut off: callers may well reach those that it does not hear.
+func usable(vms []VM) []VM {
+	for _, want := range []func(VM) bool{
+		func(vm VM) bool { return !vm.Unfit && !vm.Silent },
+		func(vm VM) bool { return !vm.Unfit },
+		func(VM) bool { return true },
+	} {
+		if found := slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return !want(vm) }); len(found) > 0 {
+			return found
+		}
+	}
+	return nil
+}
+
 // Rank orders VMs: those near to the servers first, then the strongest, turn by turn over the domains.
 func Rank(vms []VM, servers map[ident.Domain]int) []VM {
 	top := 0
--- a/internal/tier/direct/direct_test.go
+++ b/internal/tier/direct/direct_test.go
@@ -70,6 +70,22 @@
 			t.Errorf("named %v, and %v in another order", want, got)
 		}
 	})
+	t.Run("leaves out VMs that fail most requests and those that are silent", func(t *testing.T) {
+		all := vms("north", 4, 1)
+		all[0].Unfit, all[1].Silent = true, true
+		got := direct.Choose(all, servers)
+		slices.Sort(got)
+		if !slices.Equal(got, []string{"north2", "north3"}) {
+			t.Errorf("named %v", got)
+		}
+	})
+	t.Run("names silent VMs when all that are heard fail", func(t *testing.T) {
+		all := vms("north", 3, 1)
+		all[0].Unfit, all[1].Silent, all[2].Silent = true, true, true
+		assertCount(t, direct.Choose(all, servers), "north", 2)
+		all[1].Unfit, all[2].Unfit = true, true
+		assertCount(t, direct.Choose(all, servers), "north", 3)
+	})
 	t.Run("names nobody when none is ready", func(t *testing.T) {
 		if got := direct.Choose(nil, servers); len(got) != 0 {
 			t.Errorf("named %v", got)
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -24,6 +24,12 @@
 	connectionShare = 0.9
 	// connectionsUnknown is taken for a server whose bound was not published.
 	connectionsUnknown = 16
+	// waitersMost is how many requests may wait for a connection to a server.
+	waitersMost = 1
+	// patienceShare of the time in which an answer is due may be spent waiting at a server, patienceLess by less urgent
+	// requests.
+	patienceShare = 0.7
+	patienceLess  = 0.55
 	// startShare of a route's aim is taken for the usual latency of a part while nothing is known.
 	startShare = 0.15
 	// startUsual is the same for a route without an aim.
@@ -45,6 +51,8 @@
 	table   *table.Table
 	// vms are the VMs that the fleet's bounds are divided among, this one included.
 	vms []ident.VM
+	// serving is how many VMs serve callers, this one included.
+	serving int
 	// sent counts the parts that were sent, away those to servers in other failure domains.
 	sent, away int
 }
@@ -103,6 +111,8 @@
 type chooser struct {
 	*dispatch
 	usual time.Duration
+	// patience is the longest wait at a server with which the answer can still be in time.
+	patience time.Duration
 }
 
 // Choose implements gather.Chooser.
@@ -111,7 +121,7 @@
 	defer c.mu.Unlock()
 	usable, spare := c.roster.Candidates(now, service)
 	for _, members := range [][]*roster.Member{usable, spare} {
-		options := c.options(now, members, exclude)
+		options := c.options(now, members, exclude, c.usual, c.patience)
 		if o, ok := c.places.Pick(now, options, c.usual, c.rng); ok {
 			return o.Server, true
 		}
@@ -126,7 +136,9 @@
 	return c.repeats.Take(now, service, len(c.vms))
 }
 
-func (d *dispatch) options(now time.Time, members []*roster.Member, exclude []ident.Server) []place.Option {
+// options returns the servers that have room for a request: a cold one within its rate, each one with a connection to
+// spare and a queue that is not longer than the request can bear.
+func (d *dispatch) options(now time.Time, members []*roster.Member, exclude []ident.Server, usual, patience time.Duration) []place.Option {
 	out := make([]place.Option, 0, len(members))
 	for _, m := range members {
 		e := m.Entry()
@@ -134,11 +146,35 @@
 		if slices.Contains(exclude, e.Server) || cold && !d.gate.Open(now, e.Server, d.coldRate(e.Service), d.self, d.vms) {
 			continue
 		}
-		out = append(out, place.Option{Server: e.Server, Slots: e.Slots, Away: e.Domain != d.domain, Cold: cold})
+		o := place.Option{Server: e.Server, Slots: e.Slots, Away: e.Domain != d.domain, Cold: cold}
+		if d.places.Owed(e.Server) >= d.connections(e.Service)+waitersMost || d.places.Wait(now, o, usual) > patience {
+			continue
+		}
+		out = append(out, o)
 	}
 	return out
 }
 
+// connections returns how many connections the VM may have to a server of a service: its part among the VMs that serve callers.
+func (d *dispatch) connections(s ident.Service) int {
+	most := connectionsUnknown
+	if d.table != nil && d.table.Service(s).MaxConnections > 0 {
+		most = d.table.Service(s).MaxConnections
+	}
+	return max(1, int(connectionShare*float64(most)/float64(max(1, d.serving))))
+}
+
+// patience returns the longest wait that a request can bear: more for the most urgent ones, which are served first so.
+func (d *dispatch) patience(rank int, left time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	share := patienceShare
+	if d.table != nil && rank > d.table.Urgent() {
+		share = patienceLess
+	}
+	return time.Duration(share * float64(left))
+}
+
 func (d *dispatch) coldRate(s ident.Service) float64 {
 	if d.table == nil {
 		return 0
@@ -164,12 +200,7 @@
 	if s.Attempt == 0 {
 		d.repeats.First(now, s.Service)
 	}
-	most := connectionsUnknown
-	if d.table != nil && d.table.Service(s.Service).MaxConnections > 0 {
-		most = d.table.Service(s.Service).MaxConnections
-	}
-	share := int(connectionShare * float64(most) / float64(len(d.vms)))
-	return d.places.Sent(now, s.Server, usual), wire.Target{Server: s.Server, Address: m.Entry().Address}, max(1, share), true
+	return d.places.Sent(now, s.Server, usual), wire.Target{Server: s.Server, Address: m.Entry().Address}, d.connections(s.Service), true
 }
 
 // end records how a request to a server ended.
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -75,6 +75,7 @@
 	reading atomic.Bool
 	busy    atomic.Int64
 	load    loadMeter
+	fitness fitness
 
 	servers  []*http.Server
 	cleanups []func()
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -28,6 +28,10 @@
 	calmPeriods  = 2
 	// knownPeriods is how many heartbeats pass between two that tell of other VMs.
 	knownPeriods = 10
+	// silentNamed is how long after its last word a VM may be named to callers by one that seems to be cut off.
+	silentNamed = 5 * time.Second
+	// servingLeast is the load, in cores, above which a VM counts as serving callers.
+	servingLeast = 0.0005
 	// knownMost bounds the addresses told in a heartbeat.
 	knownMost = 8
 	// datagramMost is the largest heartbeat in bytes.
@@ -82,17 +86,23 @@
 	e.fleet.mu.Lock()
 	events := e.fleet.peers.Tick(now)
 	names := e.fleet.peers.Names()
-	alive := len(e.fleet.peers.Alive(now))
+	alive := e.fleet.peers.Alive(now)
 	e.fleet.mu.Unlock()
 	e.noteMembers(events)
+	serving := 1
+	for _, m := range alive {
+		if m.Digest().Load > servingLeast {
+			serving++
+		}
+	}
 	e.dispatch.mu.Lock()
-	e.dispatch.vms = names
+	e.dispatch.vms, e.dispatch.serving = names, serving
 	gone := e.dispatch.roster.Sweep(now)
 	e.dispatch.mu.Unlock()
 	for _, s := range gone {
 		e.log.Info(partServers, "server gone", "server", s, "reason", "its entry has not come back")
 	}
-	e.metrics.members.Set(float64(alive + 1))
+	e.metrics.members.Set(float64(len(alive) + 1))
 }
 
 func (e *Edge) noteMembers(events []peers.Event) {
@@ -136,7 +146,7 @@
 	s := e.settings.Load()
 	return peers.Digest{
 		VM: s.Name(), Address: s.Address(), Domain: s.Domain(), Region: s.Region(), Boot: e.boot, Phase: phase,
-		Power: s.CPUShare(), Load: e.load.rate(now), Revision: e.revision(), Reading: e.reading.Load(), Teams: teams,
+		Power: s.CPUShare(), Load: e.load.rate(now), Unfit: e.fitness.unfit(now), Revision: e.revision(), Reading: e.reading.Load(), Teams: teams,
 	}
 }
 
@@ -363,22 +373,25 @@
 	now := time.Now()
 	s := e.settings.Load()
 	e.fleet.mu.Lock()
-	alive := e.fleet.peers.Alive(now)
+	members := e.fleet.peers.Members()
 	e.fleet.mu.Unlock()
 	_, port, err := net.SplitHostPort(s.Callers())
 	if err != nil {
+		e.log.Error(partFleet, "own address for callers is malformed", "error", err.Error())
 		return nil
 	}
 	var ready []direct.VM
 	if e.ready.Load() && !e.leaving.Load() {
 		ready = append(ready, direct.VM{
 			Name: s.Name(), Domain: s.Domain(), Address: s.Callers(), Power: s.CPUShare(), Load: e.load.rate(now),
+			Unfit: e.fitness.unfit(now),
 		})
 	}
-	for _, m := range alive {
-		if d := m.Digest(); d.Phase == peers.PhaseReady {
+	for _, m := range members {
+		if d := m.Digest(); d.Phase == peers.PhaseReady && now.Sub(m.Heard()) < silentNamed {
 			ready = append(ready, direct.VM{
 				Name: d.VM, Domain: d.Domain, Address: net.JoinHostPort(d.Address, port), Power: d.Power, Load: d.Load,
+				Unfit: d.Unfit, Silent: !m.Alive(now),
 			})
 		}
 	}
--- a/internal/tier/edge/load.go
+++ b/internal/tier/edge/load.go
@@ -42,3 +42,49 @@
 	}
 	l.at = now
 }
+
+const (
+	// fitSpan is the time over which a VM judges itself by the requests that it answers.
+	fitSpan = time.Second
+	// fitLeast is the share of requests that a VM must answer to be fit, once it has seen unfitLeast of them.
+	fitLeast   = 0.5
+	unfitLeast = 4.0
+)
+
+// fitness tells whether a VM answers its requests; the zero value has seen none and is fit.
+type fitness struct {
+	mu       sync.Mutex
+	answered float64
+	failed   float64
+	at       time.Time
+}
+
+// note counts a request that servers could answer or could not.
+func (f *fitness) note(now time.Time, answered bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.decay(now)
+	if answered {
+		f.answered++
+	} else {
+		f.failed++
+	}
+}
+
+// unfit reports whether the VM fails most requests.
+func (f *fitness) unfit(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.decay(now)
+	sum := f.answered + f.failed
+	return sum >= unfitLeast && f.answered < fitLeast*sum
+}
+
+func (f *fitness) decay(now time.Time) {
+	if !f.at.IsZero() {
+		k := math.Exp(-float64(now.Sub(f.at)) / float64(fitSpan))
+		f.answered *= k
+		f.failed *= k
+	}
+	f.at = now
+}
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -26,6 +26,7 @@
 	id      string
 	route   *table.Route
 	team    ident.Team
+	rank    int
 	method  string
 	head    []byte
 	body    []byte
@@ -67,7 +68,8 @@
 		spec.Shards = []ident.Service{rq.route.Choose(e.dispatch.random())}
 		spec.MinCoverage = 1
 	}
-	j := &job{edge: e, rq: rq, state: gather.New(spec), chooser: chooser{e.dispatch, usual}, usual: usual}
+	patience := e.dispatch.patience(rq.rank, rq.soft.Sub(rq.arrived))
+	j := &job{edge: e, rq: rq, state: gather.New(spec), chooser: chooser{e.dispatch, usual, patience}, usual: usual}
 	return j.run(ctx, len(spec.Shards))
 }
 
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -82,6 +82,7 @@
 		e.log.Info(partRequest, "caller left", "id", rq.id, "route", rq.route.Name(), "ms", ms(time.Since(arrived)), "sends", out.sends)
 		panic(http.ErrAbortHandler)
 	}
+	e.fitness.note(time.Now(), out.enough)
 	e.answer(w, r, rq, out)
 }
 
@@ -102,8 +103,9 @@
 	if !ok {
 		return rq, &refusal{http.StatusUnauthorized, "no such key", 0}
 	}
+	rq.rank = rq.route.Priority()
 	if team != nil {
-		rq.team = team.Name()
+		rq.team, rq.rank = team.Name(), team.Rank(rq.route)
 	}
 	body, no := readBody(r, t.Limits())
 	if no != nil {
@@ -240,7 +242,8 @@
 		missing = ", missing " + strconv.Itoa(n) + " parts, one of them " + string(out.missing[0])
 	}
 	if !out.ran {
-		again := min(max(retryLeast, time.Until(rq.hard)/4), retryMost)
+		// Callers that are refused together should not come back together.
+		again := min(max(retryLeast, time.Duration(float64(time.Until(rq.hard))*(0.5+e.dispatch.random())/4)), retryMost)
 		return refusal{http.StatusServiceUnavailable, "no server has room" + missing, again}
 	}
 	if out.reason == gather.ReasonDeadline {
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -20,7 +20,7 @@
 	// dialLimit bounds the opening of a connection; a host without power does not answer at all.
 	dialLimit = 300 * time.Millisecond
 	// waitLimit is how long a request waits for one of the server's connections.
-	waitLimit = 30 * time.Millisecond
+	waitLimit = 60 * time.Millisecond
 	// ackLimit ends a connection on which sent bytes are not acknowledged.
 	ackLimit = time.Second
 	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which the syscall package does not name.
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -47,6 +47,8 @@
 	// Power is the VM's share of a core, Load how much of a core it spends on callers.
 	Power float64 `json:"c"`
 	Load  float64 `json:"l,omitempty"`
+	// Unfit says that the process fails most requests.
+	Unfit bool `json:"u,omitempty"`
 	// Revision is how far the process has read the store; Reading says that it watches the store itself.
 	Revision int64                       `json:"v"`
 	Reading  bool                        `json:"w,omitempty"`
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -119,6 +119,25 @@
 	return cost, true
 }
 
+// Wait returns how long a request sent now should wait at a server before it is begun.
+func (p *Places) Wait(now time.Time, o Option, usual time.Duration) time.Duration {
+	r := p.servers[o.Server]
+	if r == nil {
+		return 0
+	}
+	ahead := max(0, r.queue(now)+1-float64(o.Slots)) / float64(o.Slots)
+	return time.Duration(float64(usual) * r.pace(now) * ahead)
+}
+
+// Owed returns how many requests the VM has in progress at a server.
+func (p *Places) Owed(s ident.Server) int {
+	r := p.servers[s]
+	if r == nil {
+		return 0
+	}
+	return len(r.owed)
+}
+
 func (p *Places) bias(cost time.Duration, o Option) time.Duration {
 	if o.Cold {
 		cost = time.Duration(coldFactor * float64(cost))
--- a/internal/tier/place/place_test.go
+++ b/internal/tier/place/place_test.go
@@ -143,3 +143,26 @@
 		assertShare(t, p, start.Add(20*time.Second), pair(), 400, 600)
 	})
 }
+
+// More requests come than the servers can do: the wait that is told from a queue is what a request is refused by.
+func TestWait(t *testing.T) {
+	p := &place.Places{}
+	o := pair()[0]
+	t.Run("is none while a slot is free", func(t *testing.T) {
+		p.Sent(start, "a", usual)
+		if w := p.Wait(start, o, usual); w != 0 {
+			t.Errorf("wait is %v, want none", w)
+		}
+	})
+	t.Run("grows with what is ahead", func(t *testing.T) {
+		for range 5 {
+			p.Sent(start, "a", usual)
+		}
+		if w := p.Wait(start, o, usual); w != 25*time.Millisecond {
+			t.Errorf("wait behind six requests at two slots is %v, want 25 ms", w)
+		}
+		if n := p.Owed("a"); n != 6 {
+			t.Errorf("%d requests are owed, want 6", n)
+		}
+	})
+}
--- a/internal/tier/table/table.go
+++ b/internal/tier/table/table.go
@@ -90,6 +90,7 @@
 	keys     map[string]*Team
 	teams    map[ident.Team]*Team
 	routed   []ident.Service
+	urgent   int
 }
 
 // New returns the table of a published configuration.
@@ -111,6 +112,9 @@
 		b.addTeam(team)
 	}
 	b.routed = routedServices(t.Routes)
+	if len(t.Routes) > 0 {
+		b.urgent = slices.MinFunc(t.Routes, func(x, y RouteText) int { return cmp.Compare(x.Priority, y.Priority) }).Priority
+	}
 	return b
 }
 
@@ -155,6 +159,9 @@
 // Routed returns the services that some route leads to, in order.
 func (b *Table) Routed() []ident.Service { return b.routed }
 
+// Urgent returns the highest rank of any route, which is the lowest number.
+func (b *Table) Urgent() int { return b.urgent }
+
 // Team returns a team by name, or nil.
 func (b *Table) Team(name ident.Team) *Team { return b.teams[name] }
 
