--- /dev/null
+++ b/internal/tier/link/link_test.go
@@ -0,0 +1,216 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/tier/gather"
+	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/wire"
+)
+
+var names = wire.Names{
+	RequestID: "X-Id", RemainingMs: "X-Left", ExpectedServer: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signature",
+}
+
+// script is a server whose answers to the requests on each connection are given as text; {id} stands for the request's id.
+type script struct {
+	listener net.Listener
+	// answers are written to the requests on a connection in turn; one that ends with "!" also closes it.
+	answers []string
+	dials   chan struct{}
+}
+
+func newScript(t *testing.T, answers ...string) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	s := &script{listener: l, answers: answers, dials: make(chan struct{}, 100)}
+	t.Cleanup(func() { _ = l.Close() })
+	go s.serve()
+	return s
+}
+
+func (s *script) serve() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.dials <- struct{}{}
+		go s.talk(c)
+	}
+}
+
+func (s *script) talk(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for _, a := range s.answers {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		text, closes := strings.CutSuffix(a, "!")
+		if _, err := c.Write([]byte(strings.ReplaceAll(text, "{id}", req.Header.Get("X-Id")))); err != nil || closes {
+			return
+		}
+	}
+	// What comes on the connection after the script is read and not answered.
+	_, _ = r.ReadString(0)
+}
+
+func (s *script) call(id string) link.Call {
+	return link.Call{
+		Target: wire.Target{Server: "a", Address: s.listener.Addr().String()}, Method: http.MethodGet, RequestID: id,
+		Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\n"), Expires: time.Now().Add(5 * time.Second), Connections: 1,
+	}
+}
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func assertAnswered(t *testing.T, r link.Result, body string) {
+	t.Helper()
+	if r.Verdict != gather.VerdictAnswered {
+		t.Fatalf("verdict is %v (%v), want an answer", r.Verdict, r.Err)
+	}
+	if string(r.Answer.Body) != body {
+		t.Errorf("body is %q, want %q", r.Answer.Body, body)
+	}
+}
+
+func assertVerdict(t *testing.T, r link.Result, want gather.Verdict) {
+	t.Helper()
+	if r.Verdict != want {
+		t.Errorf("verdict is %v (%v), want %v", r.Verdict, r.Err, want)
+	}
+}
+
+func assertDials(t *testing.T, s *script, want int) {
+	t.Helper()
+	if got := len(s.dials); got != want {
+		t.Errorf("%d connections were opened, want %d", got, want)
+	}
+}
+
+func newLinks(t *testing.T) *link.Links {
+	t.Helper()
+	l, cleanup := link.New(names)
+	t.Cleanup(cleanup)
+	return l
+}
+
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer string
+		want   gather.Verdict
+		body   string
+	}{
+		{"whole", ok("abc"), gather.VerdictAnswered, "abc"},
+		{"in chunks", "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", gather.VerdictAnswered, "abc"},
+		{"without a length, to the end of the connection", "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\n\r\nabc!", gather.VerdictAnswered, "abc"},
+		{"after an interim one", "HTTP/1.1 100 Continue\r\n\r\n" + ok("abc"), gather.VerdictAnswered, "abc"},
+		{"after one to an earlier request", strings.ReplaceAll(ok("old"), "{id}", "r0") + ok("abc"), gather.VerdictAnswered, "abc"},
+		{"cut short", "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nContent-Length: 9\r\n\r\nabc!", gather.VerdictLost, ""},
+		{"cut short in chunks", "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n!", gather.VerdictLost, ""},
+		{"that are no answer", "garbage\r\n\r\n!", gather.VerdictLost, ""},
+		{"that never come", "!", gather.VerdictLost, ""},
+		{"only to other requests", strings.Repeat(strings.ReplaceAll(ok("old"), "{id}", "r0"), 3), gather.VerdictLost, ""},
+		{"without a signature", "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n", gather.VerdictFailed, ""},
+		{"that fail with a signature", "HTTP/1.1 500 Oops\r\nX-Id: {id}\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n", gather.VerdictFailed, ""},
+		{"that refuse", "HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", gather.VerdictRefused, ""},
+		{"of another server", "HTTP/1.1 421 Misdirected\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n", gather.VerdictMisplaced, ""},
+		{"that fail without a word", "HTTP/1.1 503 Down\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n", gather.VerdictFailed, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScript(t, c.answer)
+			r := newLinks(t).Do(context.Background(), s.call("r1"))
+			assertVerdict(t, r, c.want)
+			if c.want == gather.VerdictAnswered {
+				assertAnswered(t, r, c.body)
+			}
+		})
+	}
+}
+
+func TestReuse(t *testing.T) {
+	t.Run("of a connection after a whole answer", func(t *testing.T) {
+		s, l := newScript(t, ok("one"), ok("two")), newLinks(t)
+		assertAnswered(t, l.Do(context.Background(), s.call("r1")), "one")
+		assertAnswered(t, l.Do(context.Background(), s.call("r2")), "two")
+		assertDials(t, s, 1)
+	})
+	for _, c := range []struct{ name, first string }{
+		{"not after the server's word that it closes", "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nConnection: close\r\nContent-Length: 3\r\n\r\none"},
+		{"not after bytes that nobody asked for", ok("one") + ok("extra")},
+		{"not after an answer that does not say whose it is", "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\none"},
+		{"not when the server says that it closes idle ones at once", "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nKeep-Alive: timeout=0\r\nContent-Length: 3\r\n\r\none"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, l := newScript(t, c.first, ok("never")), newLinks(t)
+			assertAnswered(t, l.Do(context.Background(), s.call("r1")), "one")
+			l.Do(context.Background(), s.call("r2"))
+			assertDials(t, s, 2)
+		})
+	}
+	t.Run("not of one whose answer on a used connection names nobody", func(t *testing.T) {
+		s, l := newScript(t, ok("one"), "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\ntwo"), newLinks(t)
+		assertAnswered(t, l.Do(context.Background(), s.call("r1")), "one")
+		assertVerdict(t, l.Do(context.Background(), s.call("r2")), gather.VerdictLost)
+	})
+}
+
+func TestUnreachable(t *testing.T) {
+	t.Run("server gets nothing, and the result says so", func(t *testing.T) {
+		s := newScript(t)
+		call := s.call("r1")
+		_ = s.listener.Close()
+		r := newLinks(t).Do(context.Background(), call)
+		assertVerdict(t, r, gather.VerdictUnsent)
+		if !r.Silent {
+			t.Error("the server does not count as unreachable")
+		}
+	})
+	t.Run("by lack of a free connection is no fault of the server", func(t *testing.T) {
+		s, l := newScript(t, "HTTP/1.1 100 Continue\r\n\r\n"), newLinks(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go l.Do(ctx, s.call("r1"))
+		<-s.dials
+		r := l.Do(context.Background(), s.call("r2"))
+		assertVerdict(t, r, gather.VerdictUnsent)
+		if r.Silent {
+			t.Error("the server counts as unreachable")
+		}
+	})
+}
+
+func TestCancel(t *testing.T) {
+	s, l := newScript(t, "HTTP/1.1 100 Continue\r\n\r\n"), newLinks(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-s.dials
+		cancel()
+	}()
+	r := l.Do(ctx, s.call("r1"))
+	t.Run("ends the call", func(t *testing.T) {
+		if r.Verdict == gather.VerdictAnswered {
+			t.Error("answered after it was cancelled")
+		}
+	})
+	t.Run("closes the connection, so that the server stops work", func(t *testing.T) {
+		if n := l.Open(); n != 0 {
+			t.Errorf("%d connections are open, want none", n)
+		}
+	})
+}
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -98,6 +98,21 @@
 			best, cost = o, c
 		}
 	}
+	if best.Server == "" {
+		return p.probe(options)
+	}
+	return best, true
+}
+
+// probe returns a server that is resting, when there is no other: one at a time finds out whether it is back.
+func (p *Places) probe(options []Option) (Option, bool) {
+	best := Option{}
+	for _, o := range options {
+		r := p.servers[o.Server]
+		if len(r.owed) == 0 && (best.Server == "" || r.downUntil.Before(p.servers[best.Server].downUntil)) {
+			best = o
+		}
+	}
 	return best, best.Server != ""
 }
 
