--- a/internal/tier/logs/logs.go
+++ b/internal/tier/logs/logs.go
@@ -24,6 +24,8 @@
 // Log writes lines from any goroutine; use New.
 type Log struct {
 	inner *log.Logger
+	// level is kept here as well, since the inner logger is locked while it writes.
+	level log.Level
 	out   *bufio.Writer
 	lines chan line
 
@@ -47,6 +49,7 @@
 	out := bufio.NewWriterSize(w, writeBuffer)
 	l := &Log{
 		out:   out,
+		level: level,
 		inner: log.NewWithOptions(out, log.Options{Level: level, Formatter: log.JSONFormatter}),
 		lines: make(chan line, queueLines),
 		used:  make(map[string]int),
@@ -71,7 +74,7 @@
 func (l *Log) Error(prefix, text string, fields ...any) { l.put(log.ErrorLevel, prefix, text, fields) }
 
 func (l *Log) put(level log.Level, prefix, text string, fields []any) {
-	if l == nil || level < l.inner.GetLevel() {
+	if l == nil || level < l.level {
 		return
 	}
 	now := time.Now()
--- /dev/null
+++ b/internal/tier/logs/logs_test.go
@@ -0,0 +1,96 @@
+package logs_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+
+	"kumquatreel.example/kumquatreel/internal/tier/logs"
+)
+
+// stuck is a writer that takes nothing until it is let go.
+type stuck struct {
+	let chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.let
+	return len(p), nil
+}
+
+func lines(t *testing.T, text string) []map[string]any {
+	t.Helper()
+	var out []map[string]any
+	for l := range strings.Lines(text) {
+		var m map[string]any
+		if err := json.Unmarshal([]byte(l), &m); err != nil {
+			t.Fatalf("line %q is no JSON: %v", l, err)
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func TestLog(t *testing.T) {
+	t.Run("writes structured lines", func(t *testing.T) {
+		var b bytes.Buffer
+		l, stop := logs.New(&b, log.InfoLevel)
+		l.Warn("request", "part not answered", "id", "r1", "ms", 1.5)
+		stop()
+		got := lines(t, b.String())
+		if len(got) != 1 || got[0]["msg"] != "part not answered" || got[0]["part"] != "request" || got[0]["id"] != "r1" || got[0]["ms"] != 1.5 {
+			t.Errorf("lines are %v", got)
+		}
+	})
+	t.Run("leaves out a flood and says so, and other lines pass", func(t *testing.T) {
+		var b bytes.Buffer
+		l, stop := logs.New(&b, log.InfoLevel)
+		for range 500 {
+			l.Info("request", "flood")
+		}
+		l.Info("request", "other")
+		stop()
+		text := b.String()
+		if n := strings.Count(text, `"msg":"flood"`); n < 1 || n > 50 {
+			t.Errorf("%d lines of the flood, want some", n)
+		}
+		if !strings.Contains(text, `"msg":"other"`) || !strings.Contains(text, "log lines left out") {
+			t.Errorf("lines are\n%s", text)
+		}
+	})
+	t.Run("never waits for its writer", func(t *testing.T) {
+		w := &stuck{let: make(chan struct{})}
+		l, stop := logs.New(w, log.InfoLevel)
+		for i := range 20000 {
+			l.Info("request", strings.Repeat("x", i%500), "text", strings.Repeat("y", 1000))
+		}
+		close(w.let)
+		stop()
+	})
+	t.Run("below its level costs nothing", func(t *testing.T) {
+		var b bytes.Buffer
+		l, stop := logs.New(&b, log.WarnLevel)
+		l.Info("request", "quiet")
+		stop()
+		if b.Len() > 0 {
+			t.Errorf("wrote %s", b.String())
+		}
+	})
+	t.Run("that is missing takes lines too", func(*testing.T) {
+		var l *logs.Log
+		l.Info("request", "nobody")
+	})
+}
+
+// BenchmarkInfo measures what a line costs the work that logs it, with all lines let through.
+func BenchmarkInfo(b *testing.B) {
+	l, stop := logs.New(io.Discard, log.InfoLevel)
+	defer stop()
+	for b.Loop() {
+		l.Info("request", "part not answered", "id", "9c41d07be2a35f68", "service", "books", "ms", 1.5)
+	}
+}
