edge, direct: share connections among the VMs that callers are sent to, and start sooner

Ruled out: late configuration (in force 15 ms after the start where others live, about 0.4 s where none does). Change: the VMs that the directory names count as serving; half of a server's connections is used; a VM reads the store 120 ms after its start and is ready after 300 ms; bodies and answers have a time limit; what is known of servers that are gone is forgotten. Test: TestServing.

--- a/internal/tier/direct/direct.go
+++ b/internal/tier/direct/direct.go
@@ -14,6 +14,8 @@
 	least = 4
 	// nearShare of the most servers in any domain makes a domain near to the servers.
 	nearShare = 0.5
+	// busyLeast is the load, in cores, above which a VM counts as having callers.
+	busyLeast = 0.0005
 	// most bounds the addresses in an answer.
 	most = 64
 )
@@ -52,6 +54,17 @@
 	return out
 }
 
+// Serving returns how many VMs serve callers: those that callers are sent to, or those that have callers, if these are more.
+func Serving(vms []VM, servers map[ident.Domain]int) int {
+	busy := 0
+	for _, vm := range vms {
+		if vm.Load > busyLeast {
+			busy++
+		}
+	}
+	return max(1, busy, len(Choose(vms, servers)))
+}
+
 // usable returns the VMs that callers may be sent to. A VM that fails most requests and does not hear others is taken to be
 // the one that is cut off: callers may well reach those that it does not hear.
 func usable(vms []VM) []VM {
--- a/internal/tier/direct/direct_test.go
+++ b/internal/tier/direct/direct_test.go
@@ -95,3 +95,29 @@
 		assertCount(t, direct.Choose(vms("north", 2, 1), nil), "north", 2)
 	})
 }
+
+// After a restart of all VMs none has a load yet, and each must not take all of the servers' connections.
+func TestServing(t *testing.T) {
+	loaded := func(n int) []direct.VM {
+		all := vms("north", 6, 1)
+		for i := range n {
+			all[i].Load = 0.01
+		}
+		return all
+	}
+	for _, c := range []struct {
+		name string
+		vms  []direct.VM
+		want int
+	}{
+		{"counts those that callers are sent to, after a start", loaded(0), 4},
+		{"counts those that have callers, while these move", loaded(6), 6},
+		{"counts the VM itself when it knows nobody", nil, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := direct.Serving(c.vms, servers); got != c.want {
+				t.Errorf("%d VMs serve, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -21,7 +21,7 @@
 
 const (
 	// connectionShare of a server's connections is divided among the VMs.
-	connectionShare = 0.9
+	connectionShare = 0.5
 	// connectionsUnknown is taken for a server whose bound was not published.
 	connectionsUnknown = 16
 	// waitersMost is how many requests may wait for a connection to a server.
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -36,7 +36,7 @@
 	// idleLimit is how long an idle connection of a caller stays open; published limits are below it.
 	idleLimit = 2 * time.Minute
 	// settleTime is how long a new VM listens to others before it serves.
-	settleTime = 450 * time.Millisecond
+	settleTime = 300 * time.Millisecond
 	// readyCheck is how often a starting VM looks whether it can serve.
 	readyCheck = 20 * time.Millisecond
 	// settingsCheck is how often the settings file is looked at for changes that no signal tells of.
@@ -199,10 +199,15 @@
 		if n%summaryEvery == 0 {
 			e.summarize()
 		}
+		d := e.dispatch
+		known := func(s ident.Server) bool { return d.roster.Member(s) != nil }
+		d.mu.Lock()
+		d.places.Retain(known)
+		d.mu.Unlock()
 		e.links.Retain(func(s ident.Server) bool {
-			e.dispatch.mu.Lock()
-			defer e.dispatch.mu.Unlock()
-			return e.dispatch.roster.Member(s) != nil
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return known(s)
 		})
 	}
 }
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -30,8 +30,6 @@
 	knownPeriods = 10
 	// silentNamed is how long after its last word a VM may be named to callers by one that seems to be cut off.
 	silentNamed = 5 * time.Second
-	// servingLeast is the load, in cores, above which a VM counts as serving callers.
-	servingLeast = 0.0005
 	// knownMost bounds the addresses told in a heartbeat.
 	knownMost = 8
 	// datagramMost is the largest heartbeat in bytes.
@@ -89,12 +87,7 @@
 	alive := e.fleet.peers.Alive(now)
 	e.fleet.mu.Unlock()
 	e.noteMembers(events)
-	serving := 1
-	for _, m := range alive {
-		if m.Digest().Load > servingLeast {
-			serving++
-		}
-	}
+	serving := direct.Serving(e.callersVMs(now), e.serversByDomain())
 	e.dispatch.mu.Lock()
 	e.dispatch.vms, e.dispatch.serving = names, serving
 	gone := e.dispatch.roster.Sweep(now)
@@ -370,7 +363,11 @@
 
 // directory returns the addresses that callers should use.
 func (e *Edge) directory() []string {
-	now := time.Now()
+	return direct.Choose(e.callersVMs(time.Now()), e.serversByDomain())
+}
+
+// callersVMs returns the VMs that callers may be sent to.
+func (e *Edge) callersVMs(now time.Time) []direct.VM {
 	s := e.settings.Load()
 	e.fleet.mu.Lock()
 	members := e.fleet.peers.Members()
@@ -395,7 +392,7 @@
 			})
 		}
 	}
-	return direct.Choose(ready, e.serversByDomain())
+	return ready
 }
 
 // keep returns how long a caller may keep a directory answer.
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -32,7 +32,7 @@
 	// idleCheck is how often a VM that does not read looks whether it should.
 	idleCheck = 200 * time.Millisecond
 	// joinWait is how long a new VM waits to hear news from others before it reads the store itself.
-	joinWait = 250 * time.Millisecond
+	joinWait = 120 * time.Millisecond
 	// joinMost is how long a new VM whose turn it is not waits for news before it reads the store all the same.
 	joinMost = 1200 * time.Millisecond
 )
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -45,6 +45,8 @@
 	retryMost  = 2 * time.Second
 	// retryStarting is the pause asked for by a VM that knows no configuration yet.
 	retryStarting = 200 * time.Millisecond
+	// writeLimit bounds the time after its deadline in which a caller must take its answer.
+	writeLimit = 5 * time.Second
 	// bodyUnknown bounds a request's body in bytes when no bound was published.
 	bodyUnknown = 1 << 20
 )
@@ -71,11 +73,17 @@
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if hasBody(r) {
+		e.limitBody(w, arrived)
+	}
 	rq, no := e.admit(r, arrived)
 	if no != nil {
 		e.refuse(w, r, rq, *no)
 		return
 	}
+	if err := http.NewResponseController(w).SetWriteDeadline(rq.hard.Add(writeLimit)); err != nil {
+		e.log.Warn(partRequest, "time of an answer cannot be bounded", "id", rq.id, "error", err.Error())
+	}
 	out := e.run(r.Context(), rq)
 	if out.gone {
 		e.metrics.gone(rq)
@@ -86,6 +94,17 @@
 	e.answer(w, r, rq, out)
 }
 
+// limitBody bounds the time in which a body must arrive.
+func (e *Edge) limitBody(w http.ResponseWriter, arrived time.Time) {
+	limit := headerLimit
+	if t := e.dispatch.current(); t != nil && t.Limits().HeaderTimeout > 0 {
+		limit = t.Limits().HeaderTimeout
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(arrived.Add(limit)); err != nil {
+		e.log.Warn(partRequest, "time of a body cannot be bounded", "error", err.Error())
+	}
+}
+
 // admit finds the route and team of a request and decides whether it may run.
 func (e *Edge) admit(r *http.Request, arrived time.Time) (*request, *refusal) {
 	rq := &request{id: r.Header.Get(e.names.RequestID), method: r.Method, arrived: arrived}
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -232,6 +233,11 @@
 // Forget drops what is known of a server, for a new start under an old name.
 func (p *Places) Forget(s ident.Server) { delete(p.servers, s) }
 
+// Retain forgets the servers that are no longer known and owe nothing.
+func (p *Places) Retain(known func(ident.Server) bool) {
+	maps.DeleteFunc(p.servers, func(s ident.Server, r *record) bool { return len(r.owed) == 0 && !known(s) })
+}
+
 func (p *Places) record(now time.Time, s ident.Server) *record {
 	if p.servers == nil {
 		p.servers = make(map[ident.Server]*record)
