--- a/cmd/kumquatreel/caller.go
+++ b/cmd/kumquatreel/caller.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/story"
 	"kumquatreel.example/kumquatreel/internal/wire/caller"
 	"kumquatreel.example/kumquatreel/internal/wire/client"
 	"kumquatreel.example/kumquatreel/internal/wire/netio"
@@ -81,7 +82,8 @@
 }
 
 type explainCommand struct {
-	Operator string `long:"operator" required:"yes" description:"a VM's address for operators"`
+	Operator string   `long:"operator" description:"a VM's address for operators, to ask it"`
+	Log      []string `long:"log" description:"a log file to look in; may be given several times; without it and --operator, standard input is read"`
 	Args     struct {
 		Request string `positional-arg-name:"REQUEST" required:"yes"`
 	} `positional-args:"yes"`
@@ -89,7 +91,37 @@
 
 // Execute prints what happened to a request.
 func (c *explainCommand) Execute([]string) error {
-	return printPage(c.Operator, "/requests/"+c.Args.Request)
+	if c.Operator != "" {
+		return printPage(c.Operator, "/requests/"+c.Args.Request)
+	}
+	lines, err := c.read()
+	if err != nil {
+		return errors.Errorf("explain: %w", err)
+	}
+	if err := story.Tell(os.Stdout, lines, c.Args.Request); err != nil {
+		return errors.Errorf("explain: %w", err)
+	}
+	return nil
+}
+
+func (c *explainCommand) read() ([]story.Line, error) {
+	if len(c.Log) == 0 {
+		lines, _, err := story.Read(os.Stdin, "stdin")
+		return lines, err
+	}
+	var all []story.Line
+	for _, name := range c.Log {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Errorf("open log: %w", err)
+		}
+		lines, _, err := story.Read(f, name)
+		if err := errors.Join(err, f.Close()); err != nil {
+			return nil, errors.Errorf("log %s: %w", name, err)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
 }
 
 func printPage(address, path string) error {
--- a/cmd/kumquatreel/check.go
+++ b/cmd/kumquatreel/check.go
@@ -9,10 +9,11 @@
 	"kumquatreel.example/kumquatreel/internal/conf/catlog"
 	"kumquatreel.example/kumquatreel/internal/conf/config"
 	"kumquatreel.example/kumquatreel/internal/conf/jsonc"
+	"kumquatreel.example/kumquatreel/internal/conf/setup"
 )
 
 type checkCommand struct {
-	Kind string `long:"kind" choice:"settings" choice:"configuration" choice:"vms" default:"settings" description:"what the files hold"`
+	Kind string `long:"kind" choice:"settings" choice:"edge" choice:"configuration" choice:"vms" default:"settings" description:"what the files hold"`
 	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
@@ -51,6 +52,8 @@
 	switch c.Kind {
 	case "configuration":
 		_, err = catlog.Parse(1, raw)
+	case "edge":
+		_, err = setup.Parse(raw)
 	case "vms":
 		_, err = catlog.ParseVMs(1, raw)
 	default:
--- a/cmd/kumquatreel/main.go
+++ b/cmd/kumquatreel/main.go
@@ -55,7 +55,7 @@
 		},
 		{
 			Name: "explain", Short: "Explain a request",
-			Long: "Prints what a VM did for one recent request: what was sent where, why, and what came back.\n\nExample: kumquatreel explain --operator 127.0.0.1:7404 vm0-0a1b-1",
+			Long: "Prints what was done for one request: what was sent where, why, and what came back. With --operator it asks a VM that dispatches through owners; else it looks in the logs of edge VMs.\n\nExamples: kumquatreel explain --operator 127.0.0.1:7404 vm0-0a1b-1\nkumquatreel explain --log vm0.log --log vm1.log 9c41d07be2a35f68",
 			Run:  &explainCommand{},
 		},
 		{
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -25,9 +25,12 @@
 	refused  []int
 }
 
-func newFleet(n int, limit quota.Limit) *fleet {
+// members is the size of the fleet.
+const members = 9
+
+func newFleet(limit quota.Limit) *fleet {
 	f := &fleet{limit: limit, cut: make(map[int]bool)}
-	for i := range n {
+	for i := range members {
 		f.vms = append(f.vms, quota.New(start.Add(-10*time.Second)))
 		f.names = append(f.names, ident.Process(rune('a'+i)))
 		f.vms[i].SetLimits(start.Add(-10*time.Second), map[ident.Team]quota.Limit{team: limit})
@@ -95,7 +98,7 @@
 func TestWithinRate(t *testing.T) {
 	t.Run("nothing is refused, wherever the requests arrive", func(t *testing.T) {
 		rng := rand.New(rand.NewPCG(1, 1))
-		f := newFleet(9, limit)
+		f := newFleet(limit)
 		f.play(rng, 0, 10*time.Second, 15, f.anyVM(rng))
 		f.play(rng, 10*time.Second, 20*time.Second, 15, func() int { return 3 })
 		if n := total(f.refused); n > 0 {
@@ -108,7 +111,7 @@
 func TestHotTeam(t *testing.T) {
 	for _, rate := range []float64{60, 115, 230} {
 		rng := rand.New(rand.NewPCG(2, 1))
-		f := newFleet(9, limit)
+		f := newFleet(limit)
 		f.play(rng, 0, 5*time.Second, 15, f.anyVM(rng))
 		f.play(rng, 5*time.Second, 15*time.Second, rate, f.anyVM(rng))
 		f.assertBound(t)
@@ -122,7 +125,7 @@
 func TestCut(t *testing.T) {
 	for seed := range uint64(50) {
 		rng := rand.New(rand.NewPCG(seed, 9))
-		f := newFleet(9, limit)
+		f := newFleet(limit)
 		f.play(rng, 0, 5*time.Second, 115, f.anyVM(rng))
 		f.cut[0], f.cut[1], f.cut[2] = true, true, true
 		f.play(rng, 5*time.Second, 11*time.Second, 115, f.anyVM(rng))
@@ -136,7 +139,7 @@
 func TestIslands(t *testing.T) {
 	for seed := range uint64(50) {
 		rng := rand.New(rand.NewPCG(seed, 10))
-		f := newFleet(9, limit)
+		f := newFleet(limit)
 		f.play(rng, 0, 3*time.Second, 15, f.anyVM(rng))
 		f.play(rng, 3*time.Second, 5*time.Second, 180, f.anyVM(rng))
 		f.alone = true
@@ -151,7 +154,7 @@
 // A third of the VMs is cut off and comes back while a team stays within its rate.
 func TestCutInRate(t *testing.T) {
 	rng := rand.New(rand.NewPCG(6, 1))
-	f := newFleet(9, limit)
+	f := newFleet(limit)
 	f.play(rng, 0, 5*time.Second, 15, f.anyVM(rng))
 	f.cut[0], f.cut[1], f.cut[2] = true, true, true
 	f.play(rng, 5*time.Second, 12*time.Second, 15, f.anyVM(rng))
@@ -165,7 +168,7 @@
 // A third of the VMs goes for good, and its callers come to the others.
 func TestLoss(t *testing.T) {
 	rng := rand.New(rand.NewPCG(7, 1))
-	f := newFleet(9, limit)
+	f := newFleet(limit)
 	f.play(rng, 0, 5*time.Second, 15, f.anyVM(rng))
 	f.cut[0], f.cut[1], f.cut[2] = true, true, true
 	f.play(rng, 5*time.Second, 15*time.Second, 18, func() int { return 3 + rng.IntN(6) })
@@ -177,7 +180,7 @@
 // VMs restart one after the other while a team presses; each starts with nothing and hears the others.
 func TestRestarts(t *testing.T) {
 	rng := rand.New(rand.NewPCG(4, 1))
-	f := newFleet(9, limit)
+	f := newFleet(limit)
 	f.play(rng, 0, 6*time.Second, 115, f.anyVM(rng))
 	for i := range 9 {
 		at := 6*time.Second + time.Duration(i)*time.Second
@@ -192,7 +195,7 @@
 func TestSetLimits(t *testing.T) {
 	t.Run("lowers a rate at once", func(t *testing.T) {
 		rng := rand.New(rand.NewPCG(5, 1))
-		f := newFleet(9, limit)
+		f := newFleet(limit)
 		f.play(rng, 0, 5*time.Second, 60, f.anyVM(rng))
 		f.limit = quota.Limit{Rate: 4, Burst: 4}
 		for _, q := range f.vms {
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -70,47 +70,44 @@
 // exchange reads the answer to a request that has been written, passing over answers to earlier ones.
 func (c *conn) exchange(method, idHeader, id string, most int64) (*Answer, bool, error) {
 	for range staleMost {
-		resp, err := c.read(method)
+		answer, closes, err := c.read(method, most)
 		if err != nil {
 			return nil, false, err
 		}
-		body, err := readBody(resp, most)
-		if err != nil {
-			return nil, false, err
-		}
-		echoed := resp.Header.Get(idHeader)
+		echoed := answer.Header.Get(idHeader)
 		if echoed != "" && echoed != id {
-			if resp.Close {
+			if closes {
 				return nil, false, errStale
 			}
 			continue
 		}
-		if echoed == "" && c.uses > 0 && resp.StatusCode < 300 {
+		if echoed == "" && c.uses > 0 && answer.Status < 300 {
 			return nil, false, errUntagged
 		}
-		keep := !resp.Close && echoed != "" && c.br.Buffered() == 0
-		c.noteKeepAlive(resp.Header.Get("Keep-Alive"))
-		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
+		c.noteKeepAlive(answer.Header.Get("Keep-Alive"))
+		return answer, !closes && echoed != "" && c.br.Buffered() == 0, nil
 	}
 	return nil, false, errStale
 }
 
-// read returns the next final answer on the connection.
-func (c *conn) read(method string) (*http.Response, error) {
-	req := &http.Request{Method: method}
+// read returns the next final answer on the connection whole, and whether the connection ends with it.
+func (c *conn) read(method string, most int64) (*Answer, bool, error) {
 	for {
-		resp, err := http.ReadResponse(c.br, req)
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
-			return nil, errors.Errorf("read answer: %w", err)
+			return nil, false, errors.Errorf("read answer: %w", err)
+		}
+		body, err := readBody(resp, most)
+		if err := errors.Join(err, resp.Body.Close()); err != nil {
+			return nil, false, err
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, resp.Close, nil
 		}
 	}
 }
 
 func readBody(resp *http.Response, most int64) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }()
 	if resp.ContentLength > most {
 		return nil, errTooLarge
 	}
--- a/internal/tier/link/link_test.go
+++ b/internal/tier/link/link_test.go
@@ -29,7 +29,7 @@
 
 func newScript(t *testing.T, answers ...string) *script {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatalf("listen: %v", err)
 	}
--- a/internal/tier/logs/logs_test.go
+++ b/internal/tier/logs/logs_test.go
@@ -62,7 +62,7 @@
 			t.Errorf("lines are\n%s", text)
 		}
 	})
-	t.Run("never waits for its writer", func(t *testing.T) {
+	t.Run("never waits for its writer", func(*testing.T) {
 		w := &stuck{let: make(chan struct{})}
 		l, stop := logs.New(w, log.InfoLevel)
 		for i := range 20000 {
--- a/internal/tier/peers/circle_test.go
+++ b/internal/tier/peers/circle_test.go
@@ -14,11 +14,10 @@
 
 // town is a fleet in virtual time whose VMs tell each other as the edge does; the first three are the seeds.
 type town struct {
-	rng   *rand.Rand
-	vms   []*villager
-	cut   map[string]bool
-	sent  int
-	bytes int
+	rng  *rand.Rand
+	vms  []*villager
+	cut  map[string]bool
+	sent int
 }
 
 type villager struct {
--- /dev/null
+++ b/internal/tier/story/story.go
@@ -0,0 +1,114 @@
+package story
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// lineMost is the longest log line taken, in bytes.
+const lineMost = 1 << 20
+
+// surrounding are the lines without a request's id that may explain it.
+var surrounding = []string{"process", "store", "fleet", "servers"}
+
+// Line is one log line.
+type Line struct {
+	source string
+	fields map[string]any
+}
+
+// text returns a field as text, empty when it is missing.
+func (l Line) text(name string) string {
+	if s, ok := l.fields[name].(string); ok {
+		return s
+	}
+	return ""
+}
+
+// Read takes the log of one source; lines that are no JSON object are passed over, and their number is returned.
+func Read(r io.Reader, source string) ([]Line, int, error) {
+	var out []Line
+	other := 0
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, 64<<10), lineMost)
+	for s.Scan() {
+		raw := s.Text()
+		if at := strings.IndexByte(raw, '{'); at > 0 {
+			raw = raw[at:]
+		}
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(raw), &fields); err != nil {
+			other++
+			continue
+		}
+		out = append(out, Line{source: source, fields: fields})
+	}
+	if err := s.Err(); err != nil {
+		return nil, 0, errors.Errorf("read log %s: %w", source, err)
+	}
+	return out, other, nil
+}
+
+// Tell writes the lines of a request in order of time, and the last line of each kind before it about what its VM believed.
+func Tell(w io.Writer, lines []Line, id string) error {
+	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Compare(a.text("at"), b.text("at")) })
+	var own []Line
+	for _, l := range lines {
+		if l.text("id") == id {
+			own = append(own, l)
+		}
+	}
+	if len(own) == 0 {
+		return errors.Newf("no line tells of request %s: it was answered whole and in time, another VM took it, or its lines were left out (look for %q)", id, "log lines left out")
+	}
+	for _, l := range background(lines, own[0]) {
+		if err := write(w, "before", l); err != nil {
+			return err
+		}
+	}
+	for _, l := range own {
+		if err := write(w, "request", l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// background returns the last line of each message before a line, from the same source, that tells what was believed.
+func background(lines []Line, before Line) []Line {
+	last := make(map[string]Line)
+	for _, l := range lines {
+		if l.source == before.source && l.text("at") <= before.text("at") && slices.Contains(surrounding, l.text("part")) {
+			last[l.text("msg")] = l
+		}
+	}
+	out := slices.Collect(maps.Values(last))
+	slices.SortFunc(out, func(a, b Line) int {
+		return cmp.Or(cmp.Compare(a.text("at"), b.text("at")), cmp.Compare(a.text("msg"), b.text("msg")))
+	})
+	return out
+}
+
+func write(w io.Writer, kind string, l Line) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-7s %s %s %s", kind, l.text("at"), l.source, l.text("msg"))
+	for _, name := range slices.Sorted(maps.Keys(l.fields)) {
+		switch name {
+		case "at", "msg", "level", "part", "id":
+			continue
+		}
+		fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+	}
+	if _, err := fmt.Fprintln(w, b.String()); err != nil {
+		return errors.Errorf("write story: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tier/story/story_test.go
@@ -0,0 +1,55 @@
+package story_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"kumquatreel.example/kumquatreel/internal/tier/story"
+)
+
+const first = `   4.1 vm0 {"level":"info","msg":"configuration in force","at":"10:00:00.100","part":"store","version":7,"revision":40,"from":"vm1"}
+not a line of ours
+{"level":"info","msg":"configuration in force","at":"10:00:05.100","part":"store","version":9,"revision":44,"from":"store"}
+{"level":"warn","msg":"part not answered","at":"10:00:06.300","part":"request","id":"r7","service":"s2","server":"a","attempt":0,"verdict":"refused","ms":2.5,"status":503}
+{"level":"warn","msg":"request not answered","at":"10:00:06.310","part":"request","id":"r7","status":503,"reason":"no server has room","againMs":90}
+{"level":"info","msg":"configuration in force","at":"10:00:09.100","part":"store","version":12,"revision":60,"from":"store"}
+`
+
+const second = `{"level":"warn","msg":"request not answered","at":"10:00:06.900","part":"request","id":"r8","status":429}
+`
+
+func read(t *testing.T, texts ...string) []story.Line {
+	t.Helper()
+	var all []story.Line
+	for i, text := range texts {
+		lines, _, err := story.Read(strings.NewReader(text), []string{"vm0.log", "vm1.log"}[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, lines...)
+	}
+	return all
+}
+
+func TestTell(t *testing.T) {
+	t.Run("gives a request's lines and what its VM believed", func(t *testing.T) {
+		var b strings.Builder
+		if err := story.Tell(&b, read(t, first, second), "r7"); err != nil {
+			t.Fatal(err)
+		}
+		goldie.New(t).Assert(t, "story", []byte(b.String()))
+	})
+	t.Run("says when no line tells of it", func(t *testing.T) {
+		var b strings.Builder
+		if err := story.Tell(&b, read(t, first), "r9"); err == nil {
+			t.Errorf("told %s", b.String())
+		}
+	})
+	t.Run("counts what is no line of the log", func(t *testing.T) {
+		if _, other, err := story.Read(strings.NewReader(first), "x"); err != nil || other != 1 {
+			t.Errorf("%d other lines, %v; want one", other, err)
+		}
+	})
+}
