--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,7 +117,7 @@
 		return nil, nil, errors.Errorf("start VM %s: %w", settings.Name(), err)
 	}
 	e.log.Info(partProcess, "started", "vm", settings.Name(), "domain", settings.Domain(), "callers", settings.Callers(),
-		"store", settings.Store(), "seeds", settings.Seeds(), "boot", e.boot)
+		"store", settings.Store(), "seeds", settings.Seeds(), "boot", strconv.FormatInt(e.boot, 10))
 	return e, e.kill, nil
 }
 
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -13,7 +14,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
@@ -63,6 +63,8 @@
 	text   string
 	// again is when the caller should come back, 0 for never.
 	again time.Duration
+	// inputs are what decided it, as names and values for the log.
+	inputs []any
 }
 
 // serveCaller answers one attempt of a caller.
@@ -110,17 +112,17 @@
 	rq := &request{id: r.Header.Get(e.names.RequestID), method: r.Method, arrived: arrived}
 	t := e.dispatch.current()
 	if t == nil {
-		return rq, &refusal{http.StatusServiceUnavailable, "no configuration is known yet", retryStarting}
+		return rq, &refusal{status: http.StatusServiceUnavailable, text: "no configuration is known yet", again: retryStarting}
 	}
 	rq.version = t.Version()
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	rq.route = t.Match(hostName(r.Host), path)
 	if rq.route == nil {
-		return rq, &refusal{http.StatusNotFound, "no route", 0}
+		return rq, &refusal{status: http.StatusNotFound, text: "no route"}
 	}
 	team, ok := teamOf(t, rq.route, r.Header.Get(authorization))
 	if !ok {
-		return rq, &refusal{http.StatusUnauthorized, "no such key", 0}
+		return rq, &refusal{status: http.StatusUnauthorized, text: "no such key"}
 	}
 	rq.rank = rq.route.Priority()
 	if team != nil {
@@ -133,22 +135,30 @@
 	rq.body = body
 	e.setTimes(rq, r)
 	if !time.Now().Before(rq.hard) {
-		return rq, &refusal{http.StatusServiceUnavailable, "no time is left", retryLeast}
+		return rq, &refusal{status: http.StatusServiceUnavailable, text: "no time is left", again: retryLeast}
 	}
 	if team != nil {
-		ok, again := e.admitTeam(rq.team)
-		if !ok {
-			return rq, &refusal{http.StatusTooManyRequests, "the team is beyond its rate", again}
+		if no := e.admitTeam(team); no != nil {
+			return rq, no
 		}
 	}
 	rq.head = e.head(r, rq)
 	return rq, nil
 }
 
-func (e *Edge) admitTeam(team ident.Team) (bool, time.Duration) {
+// admitTeam takes a request from a team's rate, or returns why not.
+func (e *Edge) admitTeam(team *table.Team) *refusal {
+	now := time.Now()
 	e.quotaMu.Lock()
 	defer e.quotaMu.Unlock()
-	return e.quota.Admit(time.Now(), team)
+	ok, again := e.quota.Admit(now, team.Name())
+	if ok {
+		return nil
+	}
+	return &refusal{
+		status: http.StatusTooManyRequests, text: "the team is beyond its rate", again: again,
+		inputs: []any{"tokens", math.Round(10*e.quota.Level(now, team.Name())) / 10, "rate", team.Rate(), "burst", team.Burst()},
+	}
 }
 
 func teamOf(t *table.Table, r *table.Route, header string) (*table.Team, bool) {
@@ -173,14 +183,14 @@
 		most = bodyUnknown
 	}
 	if r.ContentLength > most {
-		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0}
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
 	if err != nil {
-		return nil, &refusal{http.StatusRequestTimeout, "the body did not arrive", retryLeast}
+		return nil, &refusal{status: http.StatusRequestTimeout, text: "the body did not arrive", again: retryLeast}
 	}
 	if int64(len(body)) > most {
-		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0}
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
 	}
 	return body, nil
 }
@@ -263,12 +273,12 @@
 	if !out.ran {
 		// Callers that are refused together should not come back together.
 		again := min(max(retryLeast, time.Duration(float64(time.Until(rq.hard))*(0.5+e.dispatch.random())/4)), retryMost)
-		return refusal{http.StatusServiceUnavailable, "no server has room" + missing, again}
+		return refusal{status: http.StatusServiceUnavailable, text: "no server has room" + missing, again: again}
 	}
 	if out.reason == gather.ReasonDeadline {
-		return refusal{http.StatusGatewayTimeout, "the time is over" + missing, 0}
+		return refusal{status: http.StatusGatewayTimeout, text: "the time is over" + missing}
 	}
-	return refusal{http.StatusBadGateway, "too few servers answered" + missing, 0}
+	return refusal{status: http.StatusBadGateway, text: "too few servers answered" + missing}
 }
 
 func (e *Edge) answerShards(w http.ResponseWriter, rq *request, out outcome) {
@@ -351,7 +361,7 @@
 	} else {
 		fields = append(fields, "route", rq.route.Name(), "budgetMs", ms(rq.hard.Sub(rq.arrived)))
 	}
-	e.log.Warn(partRequest, "request not answered", fields...)
+	e.log.Warn(partRequest, "request not answered", append(fields, no.inputs...)...)
 	http.Error(w, no.text, no.status)
 }
 
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -189,7 +189,7 @@
 			delete(p.members, name)
 			continue
 		}
-		if !e.silent && !e.Alive(now) {
+		if !e.silent && !e.Alive(now) && e.digest.Phase != PhaseGone {
 			e.silent = true
 			out = append(out, Silent{e.Member})
 		}
--- a/internal/tier/peers/peers_test.go
+++ b/internal/tier/peers/peers_test.go
@@ -92,6 +92,15 @@
 			t.Errorf("%d events again, want none", n)
 		}
 	})
+	t.Run("does not call a process silent that has said its last word", func(t *testing.T) {
+		p := peers.New("self")
+		last := word("a", 1, 1)
+		last.From.Phase = peers.PhaseGone
+		p.Heard(start, last)
+		if n := len(p.Tick(start.Add(2 * time.Second))); n != 0 {
+			t.Errorf("%d events, want none", n)
+		}
+	})
 	t.Run("counts a silent VM for a while, as it may spend its part", func(t *testing.T) {
 		p := peers.New("self")
 		p.Heard(start, word("a", 1, 1))
