edge: bound the connections that callers can cause

Cause: callers' connections had no bound but the descriptors, which connections to servers need too. Change: netutil.LimitListener, 0.4 of the descriptors an address, 64 at least; table.Routed, which nothing used, is gone.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/netutil"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
@@ -36,6 +37,10 @@
 	headerLimit = 10 * time.Second
 	// idleLimit is how long an idle connection of a caller stays open; published limits are below it.
 	idleLimit = 2 * time.Minute
+	// callersShare of the descriptors may be connections at one of the VM's addresses; further ones wait to be accepted.
+	callersShare = 0.4
+	// connectionsLeast is the fewest connections that an address takes.
+	connectionsLeast = 64
 	// settleTime is how long a new VM listens to others before it serves.
 	settleTime = 300 * time.Millisecond
 	// readyCheck is how often a starting VM looks whether it can serve.
@@ -163,6 +168,7 @@
 	if err != nil {
 		return err
 	}
+	l = netutil.LimitListener(l, max(connectionsLeast, int(callersShare*float64(e.settings.Load().MaxOpenFiles()))))
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, ErrorLog: nil}
 	e.servers = append(e.servers, srv)
 	e.cleanups = append(e.cleanups, func() { _ = srv.Close() })
--- a/internal/tier/table/table.go
+++ b/internal/tier/table/table.go
@@ -89,7 +89,6 @@
 	services map[ident.Service]ServiceText
 	keys     map[string]*Team
 	teams    map[ident.Team]*Team
-	routed   []ident.Service
 	urgent   int
 }
 
@@ -111,7 +110,6 @@
 	for _, team := range t.Teams {
 		b.addTeam(team)
 	}
-	b.routed = routedServices(t.Routes)
 	if len(t.Routes) > 0 {
 		b.urgent = slices.MinFunc(t.Routes, func(x, y RouteText) int { return cmp.Compare(x.Priority, y.Priority) }).Priority
 	}
@@ -126,27 +124,6 @@
 	}
 }
 
-func routedServices(routes []RouteText) []ident.Service {
-	seen := make(map[ident.Service]bool)
-	for _, r := range routes {
-		if r.Service != "" {
-			seen[r.Service] = true
-		}
-		for _, s := range r.Split {
-			seen[s.Service] = true
-		}
-		for _, s := range r.Shards {
-			seen[s] = true
-		}
-	}
-	out := make([]ident.Service, 0, len(seen))
-	for s := range seen {
-		out = append(out, s)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // Version returns the version of the configuration.
 func (b *Table) Version() int64 { return b.text.Version }
 
@@ -156,9 +133,6 @@
 // Service returns what was published of a service, or the zero value.
 func (b *Table) Service(name ident.Service) ServiceText { return b.services[name] }
 
-// Routed returns the services that some route leads to, in order.
-func (b *Table) Routed() []ident.Service { return b.routed }
-
 // Urgent returns the highest rank of any route, which is the lowest number.
 func (b *Table) Urgent() int { return b.urgent }
 
--- a/internal/tier/table/table_test.go
+++ b/internal/tier/table/table_test.go
@@ -81,15 +81,8 @@
 	})
 }
 
-func TestRouted(t *testing.T) {
-	want := []ident.Service{"books", "new", "old", "s1", "s2"}
-	got := sample().Routed()
-	if len(got) != len(want) {
-		t.Fatalf("routed services are %v, want %v", got, want)
-	}
-	for i := range want {
-		if got[i] != want[i] {
-			t.Errorf("routed services are %v, want %v", got, want)
-		}
+func TestUrgent(t *testing.T) {
+	if got := sample().Urgent(); got != 0 {
+		t.Errorf("the highest rank is %d, want 0", got)
 	}
 }
