logs: do not read what was left out while lines are being counted

Ruled out: load (the race detector names both places). Change: the map is always replaced under the lock. Test: TestLog from many goroutines under the race detector.

--- a/internal/tier/logs/logs.go
+++ b/internal/tier/logs/logs.go
@@ -136,9 +136,7 @@
 func (l *Log) tellLeft() {
 	l.mu.Lock()
 	left, full := l.left, l.leftFull
-	if len(left) > 0 {
-		l.left = make(map[string]int)
-	}
+	l.left = make(map[string]int)
 	l.leftFull = 0
 	l.mu.Unlock()
 	for _, text := range slices.Sorted(maps.Keys(left)) {
--- a/internal/tier/logs/logs_test.go
+++ b/internal/tier/logs/logs_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/charmbracelet/log"
@@ -71,6 +72,19 @@
 		close(w.let)
 		stop()
 	})
+	t.Run("takes lines from many goroutines while it tells what it left out", func(*testing.T) {
+		l, stop := logs.New(io.Discard, log.InfoLevel)
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				for n := range 60000 {
+					l.Info("request", strings.Repeat("x", (i+n)%40))
+				}
+			})
+		}
+		wg.Wait()
+		stop()
+	})
 	t.Run("below its level costs nothing", func(t *testing.T) {
 		var b bytes.Buffer
 		l, stop := logs.New(&b, log.WarnLevel)
