roster, edge, jsonc: let servers leave as fast as the deployment says, and heed a server that says it is cold

Cause: found on reading. The time in which a leaving server may get work was a constant that fits a drain of 3 s, while the setting drainMillis was read by nobody; a deployment with a shorter drain would have sent work to servers that had ended. roster.Chilled was never called, so a server that tells in an answer that it is cold counted as warm. setup and config each had their own Load and Parse; coldSlack was read by nobody.

Ruled out: a change of the gate, which holds the rate of cold servers by itself (TestColdReturn).

Change: roster.New takes the drain; dispatch hands on the cold time of an answer; jsonc.Check and jsonc.Load serve both kinds of settings; coldSlack is gone.

Before: TestColdAnswer, 10 requests at once to a server that bears 2 a second; TestShortDrain could not be written. After: 1, and nothing after the drain. With a drain of 3 s the times are as before but for 20 ms.

--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -2,10 +2,8 @@
 
 import (
 	"net"
-	"os"
 	"time"
 
-	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/jsonc"
@@ -50,29 +48,22 @@
 }
 
 // Load reads the settings in a file and returns jsonc.FaultErrors inside the error when they are not sound.
-func Load(path string) (Settings, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, errors.Errorf("read settings: %w", err)
-	}
-	s, err := Parse(raw)
-	if err != nil {
-		return Settings{}, errors.Errorf("settings %s: %w", path, err)
-	}
-	return s, nil
+func Load(path string) (s Settings, err error) {
+	err = jsonc.Load(path, func(text []byte) error {
+		s, err = Parse(text)
+		return err
+	})
+	return s, err
 }
 
 // Parse returns the settings in text, or jsonc.FaultErrors that name everything wrong with it.
-func Parse(text []byte) (Settings, error) {
+func Parse(text []byte) (s Settings, err error) {
 	var t Text
-	if err := jsonc.Decode(text, &t); err != nil {
-		return Settings{}, err
-	}
-	s, faults := New(t)
-	if len(faults) > 0 {
-		return Settings{}, jsonc.Locate(text, faults)
-	}
-	return s, nil
+	err = jsonc.Check(text, &t, func() (faults jsonc.FaultErrors) {
+		s, faults = New(t)
+		return faults
+	})
+	return s, err
 }
 
 // New checks settings given in the program, fills in defaults and returns every fault found.
--- a/internal/conf/jsonc/jsonc.go
+++ b/internal/conf/jsonc/jsonc.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -77,6 +78,29 @@
 	return nil
 }
 
+// Check decodes text into v, runs check on what it holds, and returns FaultErrors with the line of each fault.
+func Check(text []byte, v any, check func() FaultErrors) error {
+	if err := Decode(text, v); err != nil {
+		return err
+	}
+	if faults := check(); len(faults) > 0 {
+		return Locate(text, faults)
+	}
+	return nil
+}
+
+// Load reads a file and parses what it holds; the error names the file.
+func Load(path string, parse func(text []byte) error) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Errorf("read settings: %w", err)
+	}
+	if err := parse(text); err != nil {
+		return errors.Errorf("settings %s: %w", path, err)
+	}
+	return nil
+}
+
 // Locate adds the lines that belong to the paths of the faults.
 func Locate(text []byte, faults FaultErrors) FaultErrors {
 	root, err := hujson.Parse(bytes.Clone(text))
--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -2,12 +2,10 @@
 
 import (
 	"net"
-	"os"
 	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/jsonc"
@@ -23,7 +21,6 @@
 	defaultRepeatWindow = 10.0
 	defaultRepeatSlack  = 10.0
 	defaultKeepMost     = 5.0
-	defaultColdSlack    = 1.0
 	defaultLogLevel     = "info"
 )
 
@@ -49,7 +46,6 @@
 	RepeatWindowSeconds float64      `json:"repeatWindowSeconds"`
 	RepeatSlack         float64      `json:"repeatSlack"`
 	KeepSecondsMost     float64      `json:"keepSecondsMost"`
-	ColdSlack           float64      `json:"coldSlack"`
 	LogLevel            string       `json:"logLevel"`
 }
 
@@ -59,29 +55,22 @@
 }
 
 // Load reads the settings in a file and returns jsonc.FaultErrors inside the error when they are not sound.
-func Load(path string) (Settings, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, errors.Errorf("read settings: %w", err)
-	}
-	s, err := Parse(raw)
-	if err != nil {
-		return Settings{}, errors.Errorf("settings %s: %w", path, err)
-	}
-	return s, nil
+func Load(path string) (s Settings, err error) {
+	err = jsonc.Load(path, func(text []byte) error {
+		s, err = Parse(text)
+		return err
+	})
+	return s, err
 }
 
 // Parse returns the settings in text, or jsonc.FaultErrors that name everything wrong with it.
-func Parse(text []byte) (Settings, error) {
+func Parse(text []byte) (s Settings, err error) {
 	var t Text
-	if err := jsonc.Decode(text, &t); err != nil {
-		return Settings{}, err
-	}
-	s, faults := New(t)
-	if len(faults) > 0 {
-		return Settings{}, jsonc.Locate(text, faults)
-	}
-	return s, nil
+	err = jsonc.Check(text, &t, func() (faults jsonc.FaultErrors) {
+		s, faults = New(t)
+		return faults
+	})
+	return s, err
 }
 
 // New checks settings given in the program, fills in defaults and returns every fault found.
@@ -125,7 +114,6 @@
 	}
 	check(t.RepeatRatio >= 0, "/repeatRatio", "%v is below 0", t.RepeatRatio)
 	check(t.RepeatSlack >= 0, "/repeatSlack", "%v is below 0", t.RepeatSlack)
-	check(t.ColdSlack >= 0, "/coldSlack", "%v is below 0", t.ColdSlack)
 	_, err := log.ParseLevel(t.LogLevel)
 	check(err == nil, "/logLevel", "%q is not debug, info, warn or error", t.LogLevel)
 	return Settings{text: t}, faults
@@ -155,7 +143,6 @@
 	number(&t.RepeatWindowSeconds, defaultRepeatWindow)
 	number(&t.RepeatSlack, defaultRepeatSlack)
 	number(&t.KeepSecondsMost, defaultKeepMost)
-	number(&t.ColdSlack, defaultColdSlack)
 	if t.LogLevel == "" {
 		t.LogLevel = defaultLogLevel
 	}
@@ -203,7 +190,7 @@
 // MaxOpenFiles returns how many descriptors the process may have.
 func (s Settings) MaxOpenFiles() int { return s.text.MaxOpenFiles }
 
-// Drain returns how long after it is named as leaving a backend server may still get work.
+// Drain returns how long a backend server goes on serving after it has said that it leaves.
 func (s Settings) Drain() time.Duration { return time.Duration(s.text.DrainMillis) * time.Millisecond }
 
 // Grace returns how long a process may run after it is told to stop.
@@ -221,9 +208,6 @@
 // KeepMost returns the longest time for which a caller may keep a directory answer.
 func (s Settings) KeepMost() time.Duration { return seconds(s.text.KeepSecondsMost) }
 
-// ColdSlack returns how many requests beyond its rate a cold server bears in a second.
-func (s Settings) ColdSlack() float64 { return s.text.ColdSlack }
-
 // LogLevel returns the least level that is logged.
 func (s Settings) LogLevel() string { return s.text.LogLevel }
 
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -43,7 +43,7 @@
 
 	mu      sync.Mutex
 	rng     *rand.Rand
-	roster  roster.Roster
+	roster  *roster.Roster
 	places  place.Places
 	repeats *repeat.Budget
 	gate    warmup.Gate
@@ -59,7 +59,7 @@
 
 func newDispatch(s setup.Settings, rng *rand.Rand) *dispatch {
 	return &dispatch{
-		domain: s.Domain(), self: s.Name(), rng: rng, paces: make(map[ident.Route]*pace.Pace), vms: []ident.VM{s.Name()},
+		domain: s.Domain(), self: s.Name(), rng: rng, roster: roster.New(s.Drain()), paces: make(map[ident.Route]*pace.Pace), vms: []ident.VM{s.Name()},
 		repeats: repeat.New(repeat.Terms{Ratio: s.RepeatRatio(), Slack: s.RepeatSlack(), Window: s.RepeatWindow()}),
 	}
 }
@@ -209,6 +209,9 @@
 	defer d.mu.Unlock()
 	var load *wire.Load
 	if res.Answer != nil {
+		if left, ok := wire.ParseMillis(res.Answer.Header.Get(names.ColdMs)); ok {
+			d.roster.Chilled(now, server, left)
+		}
 		if l, ok := wire.ParseLoad(res.Answer.Header.Get(names.Load)); ok {
 			load = &l
 		}
--- /dev/null
+++ b/internal/tier/edge/dispatch_test.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/conf/setup"
+	"kumquatreel.example/kumquatreel/internal/tier/gather"
+	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/roster"
+	"kumquatreel.example/kumquatreel/internal/tier/table"
+	"kumquatreel.example/kumquatreel/internal/tier/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+const usual = 10 * time.Millisecond
+
+// newTestDispatch returns a dispatch that knows some servers of one service, each of which bears 2 requests a second when cold.
+func newTestDispatch(t *testing.T, servers ...ident.Server) *dispatch {
+	t.Helper()
+	s, faults := setup.New(setup.Text{
+		Name: "vm0", Domain: "north", Address: "127.0.0.1", Callers: "127.0.0.1:1", Ready: "127.0.0.1:2", Peers: "127.0.0.1:3",
+		Directory: "127.0.0.1:4", Metrics: "127.0.0.1:5", GossipPort: 6, Store: "127.0.0.1:7",
+	})
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	d := newDispatch(s, rand.New(rand.NewPCG(1, 1)))
+	d.table = table.New(table.Text{
+		Routes:   []table.RouteText{{Name: "search", Host: "h", Prefix: "/", Service: "books", Kind: table.KindIdempotent}},
+		Services: []table.ServiceText{{Name: "books", MaxConnections: 100, ColdPerSecond: 2}},
+	})
+	for _, name := range servers {
+		d.roster.Seen(start, roster.Entry{Server: name, Service: "books", Address: "127.0.0.1:1", Domain: "north", Slots: 2, Started: 1})
+	}
+	return d
+}
+
+// chosen has requests come at one instant and returns how many are sent.
+func chosen(d *dispatch, now time.Time, requests int) int {
+	n := 0
+	for range requests {
+		c := chooser{d, usual, time.Hour}
+		if server, ok := c.Choose(now, "books", nil); ok {
+			d.begin(now, gather.Send{Service: "books", Server: server}, usual)
+			n++
+		}
+	}
+	return n
+}
+
+func TestColdAnswer(t *testing.T) {
+	d := newTestDispatch(t, "a")
+	r := d.table.Match("h", "/")
+	ticket, _, _, ok := d.begin(start, gather.Send{Service: "books", Server: "a"}, usual)
+	if !ok {
+		t.Fatal("the server is not known")
+	}
+	names := wire.Names{ColdMs: "Cold-Ms"}
+	answer := &link.Answer{Status: http.StatusOK, Header: http.Header{"Cold-Ms": {"3000"}}}
+	d.end(start, r, ticket, "a", link.Result{Verdict: gather.VerdictAnswered, Answer: answer}, names, usual)
+	if n := chosen(d, start.Add(usual), 10); n != 1 {
+		t.Errorf("%d requests are sent at once to a server that has said it is cold, want 1", n)
+	}
+}
--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -9,11 +9,14 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 )
 
-// lapse is how long a removed entry is held back: entries that lapsed with the store return within two seconds of it.
-const lapse = 2 * time.Second
-
-// lastResort is how long a server that leaves may still get work that no other can do; it ends well before its drain does.
-const lastResort = time.Second
+const (
+	// lapse is how long a removed entry is held back: entries that lapsed with the store return within two seconds of it.
+	lapse = 2 * time.Second
+	// lapseShare of the time in which a server leaves bounds the same, since its entry may be gone because it leaves.
+	lapseShare = 0.67
+	// lastShare of the time in which a server leaves, it may still get work that no other can do.
+	lastShare = 0.34
+)
 
 // Entry is what a backend server says of itself.
 type Entry struct {
@@ -46,22 +49,27 @@
 // Leaving reports whether the server was seen to leave or its entry to be removed.
 func (m *Member) Leaving() bool { return !m.leftAt.IsZero() }
 
-// usable reports whether the server may get work that no other can do.
-func (m *Member) usable(now time.Time) bool {
-	limit := lastResort
+// usable reports whether the server may get work that no other can do, given how long servers take to leave.
+func (m *Member) usable(now time.Time, drain time.Duration) bool {
+	limit := time.Duration(lastShare * float64(drain))
 	if m.lapsed {
-		limit = lapse
+		limit = min(lapse, time.Duration(lapseShare*float64(drain)))
 	}
 	return m.leftAt.IsZero() || now.Sub(m.leftAt) < limit
 }
 
-// Roster is the set of known backend servers; the zero value is empty. It is driven under its owner's lock.
+// Roster is the set of known backend servers; the zero value is empty and drops servers as soon as they leave. It is
+// driven under its owner's lock.
 type Roster struct {
+	drain    time.Duration
 	members  map[ident.Server]*Member
 	services map[ident.Service][]*Member
 	out      group.Set[ident.Domain]
 }
 
+// New returns an empty Roster; servers go on serving for drain after they have said that they leave.
+func New(drain time.Duration) *Roster { return &Roster{drain: drain} }
+
 // Seen takes an entry and reports whether the server is new, or a new start of a known one.
 func (r *Roster) Seen(now time.Time, e Entry) bool {
 	r.init()
@@ -138,7 +146,7 @@
 		case r.out.Has(m.entry.Domain):
 		case !m.Leaving():
 			usable = append(usable, m)
-		case m.usable(now):
+		case m.usable(now, r.drain):
 			spare = append(spare, m)
 		}
 	}
@@ -149,7 +157,7 @@
 func (r *Roster) Sweep(now time.Time) []ident.Server {
 	var gone []ident.Server
 	for name, m := range r.members {
-		if m.lapsed && !m.usable(now) {
+		if m.lapsed && !m.usable(now, r.drain) {
 			r.drop(m)
 			gone = append(gone, name)
 		}
--- a/internal/tier/roster/roster_test.go
+++ b/internal/tier/roster/roster_test.go
@@ -11,6 +11,9 @@
 
 var start = time.Unix(1000, 0)
 
+// drain is how long a server goes on serving after it has said that it leaves.
+const drain = 3 * time.Second
+
 func entry(name ident.Server) roster.Entry {
 	return roster.Entry{Server: name, Service: "books", Address: "127.0.0.1:1", Domain: "north", Slots: 2, Started: 1}
 }
@@ -33,50 +36,50 @@
 
 func TestCandidates(t *testing.T) {
 	t.Run("are the servers that stay", func(t *testing.T) {
-		var r roster.Roster
+		r := roster.New(drain)
 		r.Seen(start, entry("a"))
 		leaving := entry("b")
 		leaving.Leaving = true
 		r.Seen(start, leaving)
-		assertCandidates(t, &r, start, []ident.Server{"a"}, []ident.Server{"b"})
+		assertCandidates(t, r, start, []ident.Server{"a"}, []ident.Server{"b"})
 	})
-	t.Run("leave out one that leaves after a second", func(t *testing.T) {
-		var r roster.Roster
+	t.Run("leave out one that leaves after a third of its time", func(t *testing.T) {
+		r := roster.New(drain)
 		leaving := entry("b")
 		leaving.Leaving = true
 		r.Seen(start, leaving)
-		assertCandidates(t, &r, start.Add(time.Second), nil, nil)
+		assertCandidates(t, r, start.Add(1020*time.Millisecond), nil, nil)
 	})
 	t.Run("count the time of leaving from its first notice", func(t *testing.T) {
-		var r roster.Roster
+		r := roster.New(drain)
 		leaving := entry("b")
 		leaving.Leaving = true
 		r.Seen(start, leaving)
 		r.Seen(start.Add(900*time.Millisecond), leaving)
-		assertCandidates(t, &r, start.Add(1100*time.Millisecond), nil, nil)
+		assertCandidates(t, r, start.Add(1100*time.Millisecond), nil, nil)
 	})
 	t.Run("leave out a domain that is taken out, and take it back", func(t *testing.T) {
-		var r roster.Roster
+		r := roster.New(drain)
 		r.Seen(start, entry("a"))
 		r.SetOut("north", true)
-		assertCandidates(t, &r, start, nil, nil)
+		assertCandidates(t, r, start, nil, nil)
 		r.SetOut("north", false)
-		assertCandidates(t, &r, start, []ident.Server{"a"}, nil)
+		assertCandidates(t, r, start, []ident.Server{"a"}, nil)
 	})
 	t.Run("leave out a server that another has answered for until its next entry", func(t *testing.T) {
-		var r roster.Roster
+		r := roster.New(drain)
 		r.Seen(start, entry("a"))
 		r.Wrong("a")
-		assertCandidates(t, &r, start, nil, nil)
+		assertCandidates(t, r, start, nil, nil)
 		r.Seen(start, entry("a"))
-		assertCandidates(t, &r, start, []ident.Server{"a"}, nil)
+		assertCandidates(t, r, start, []ident.Server{"a"}, nil)
 	})
 }
 
 // Entries that lapse while the store is away come back within two seconds of its return.
 func TestLapse(t *testing.T) {
 	lapsed := func() *roster.Roster {
-		r := &roster.Roster{}
+		r := roster.New(drain)
 		r.Seen(start, entry("a"))
 		r.Gone(start, "a")
 		return r
@@ -97,18 +100,56 @@
 		assertCandidates(t, r, start.Add(2*time.Second), nil, nil)
 	})
 	t.Run("of a server that had said it leaves is for good at once", func(t *testing.T) {
-		var r roster.Roster
+		r := roster.New(drain)
+		leaving := entry("a")
+		leaving.Leaving = true
+		r.Seen(start, leaving)
+		r.Gone(start, "a")
+		assertCandidates(t, r, start, nil, nil)
+	})
+}
+
+// A deployment may give its servers less time to leave than others do: whatever one said last, it gets nothing after it.
+func TestShortDrain(t *testing.T) {
+	const short = 900 * time.Millisecond
+	t.Run("of a server that has said it leaves", func(t *testing.T) {
+		r := roster.New(short)
 		leaving := entry("a")
 		leaving.Leaving = true
 		r.Seen(start, leaving)
+		assertCandidates(t, r, start.Add(200*time.Millisecond), nil, []ident.Server{"a"})
+		assertCandidates(t, r, start.Add(short), nil, nil)
+	})
+	t.Run("of a server whose entry was removed", func(t *testing.T) {
+		r := roster.New(short)
+		r.Seen(start, entry("a"))
 		r.Gone(start, "a")
-		assertCandidates(t, &r, start, nil, nil)
+		assertCandidates(t, r, start.Add(200*time.Millisecond), nil, []ident.Server{"a"})
+		assertCandidates(t, r, start.Add(short), nil, nil)
+	})
+}
+
+func TestChilled(t *testing.T) {
+	t.Run("makes a warm server cold", func(t *testing.T) {
+		r := roster.New(drain)
+		r.Seen(start, entry("a"))
+		r.Chilled(start, "a", time.Second)
+		if m := r.Member("a"); !m.Cold(start.Add(900*time.Millisecond)) || m.Cold(start.Add(time.Second)) {
+			t.Error("the server is not cold for one second")
+		}
+	})
+	t.Run("leaves out a server that is not known", func(t *testing.T) {
+		r := roster.New(drain)
+		r.Chilled(start, "a", time.Second)
+		if r.Len() != 0 {
+			t.Error("a server is known of which no entry was seen")
+		}
 	})
 }
 
 func TestSeen(t *testing.T) {
 	t.Run("tells a new start under an old name", func(t *testing.T) {
-		var r roster.Roster
+		r := roster.New(drain)
 		again := entry("a")
 		again.Started = 2
 		if !r.Seen(start, entry("a")) || r.Seen(start, entry("a")) || !r.Seen(start, again) {
@@ -116,7 +157,7 @@
 		}
 	})
 	t.Run("keeps a server cold for the time that it names", func(t *testing.T) {
-		var r roster.Roster
+		r := roster.New(drain)
 		cold := entry("a")
 		cold.ColdFor = time.Second
 		r.Seen(start, cold)
--- a/internal/tier/wire/wire.go
+++ b/internal/tier/wire/wire.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -92,6 +93,15 @@
 	return l, true
 }
 
+// ParseMillis returns a span told in milliseconds, and false when it is malformed.
+func ParseMillis(text string) (time.Duration, bool) {
+	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(n >= 0 && n < float64(math.MaxInt64/time.Millisecond)) {
+		return 0, false
+	}
+	return time.Duration(n * float64(time.Millisecond)), true
+}
+
 // Target is a backend server as a request is sent to it.
 type Target struct {
 	Server  ident.Server
--- a/internal/tier/wire/wire_test.go
+++ b/internal/tier/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"kumquatreel.example/kumquatreel/internal/tier/wire"
 )
@@ -26,3 +27,26 @@
 		})
 	}
 }
+
+func TestParseMillis(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		want time.Duration
+		ok   bool
+	}{
+		{"1500", 1500 * time.Millisecond, true},
+		{" 0.5 ", 500 * time.Microsecond, true},
+		{"0", 0, true},
+		{"", 0, false},
+		{"-1", 0, false},
+		{"NaN", 0, false},
+		{"1e300", 0, false},
+		{"soon", 0, false},
+	} {
+		t.Run(c.text, func(t *testing.T) {
+			if got, ok := wire.ParseMillis(c.text); got != c.want || ok != c.ok {
+				t.Errorf("span is %v, %v, want %v, %v", got, ok, c.want, c.ok)
+			}
+		})
+	}
+}
