edge, gather: log each second attempt, each belief about a server, and the traffic of each second

Cause: the log told of a second attempt only if it answered first, of a denied one never, and not of servers taken to be down, cold or replaced, of shares that move or of a directory that changes; and where lines about single requests were left out, nothing said how many requests there were.

Change: gather names the cause of each attempt; the end of an attempt returns what it changes in the belief about its server; refusals carry how many servers were passed over as cold, full or slow; a line 'traffic' each second counts all requests.

--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -4,7 +4,6 @@
 	"net"
 	"time"
 
-
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/jsonc"
 )
--- a/internal/tier/direct/direct.go
+++ b/internal/tier/direct/direct.go
@@ -54,15 +54,15 @@
 	return out
 }
 
-// Serving returns how many VMs serve callers: those that callers are sent to, or those that have callers, if these are more.
-func Serving(vms []VM, servers map[ident.Domain]int) int {
+// Serving returns how many VMs serve callers: as many as callers are sent to, or those that have callers, if these are more.
+func Serving(vms []VM, named int) int {
 	busy := 0
 	for _, vm := range vms {
 		if vm.Load > busyLeast {
 			busy++
 		}
 	}
-	return max(1, busy, len(Choose(vms, servers)))
+	return max(1, busy, named)
 }
 
 // usable returns the VMs that callers may be sent to. A VM that fails most requests and does not hear others is taken to be
--- a/internal/tier/direct/direct_test.go
+++ b/internal/tier/direct/direct_test.go
@@ -115,7 +115,7 @@
 		{"counts the VM itself when it knows nobody", nil, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := direct.Serving(c.vms, servers); got != c.want {
+			if got := direct.Serving(c.vms, len(direct.Choose(c.vms, servers))); got != c.want {
 				t.Errorf("%d VMs serve, want %d", got, c.want)
 			}
 		})
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -107,21 +107,31 @@
 	return d.rng.Float64()
 }
 
-// chooser serves one request.
+// chooser serves one request; it is driven by one goroutine at a time.
 type chooser struct {
 	*dispatch
 	usual time.Duration
 	// patience is the longest wait at a server with which the answer can still be in time.
 	patience time.Duration
+	// passed counts the servers that were passed over for the request, and why.
+	passed passed
+	// denied is called for each repeat that the bounds do not allow.
+	denied func(service ident.Service, first, repeats, vms int)
+}
+
+// passed counts servers that got no request.
+type passed struct {
+	// cold ones have had their rate, full ones have no connection to spare, slow ones have too long a queue.
+	cold, full, slow int
 }
 
 // Choose implements gather.Chooser.
-func (c chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, bool) {
+func (c *chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	usable, spare := c.roster.Candidates(now, service)
 	for _, members := range [][]*roster.Member{usable, spare} {
-		options := c.options(now, members, exclude, c.usual, c.patience)
+		options := c.options(now, members, exclude)
 		if o, ok := c.places.Pick(now, options, c.usual, c.rng); ok {
 			return o.Server, true
 		}
@@ -130,27 +140,36 @@
 }
 
 // Repeat implements gather.Chooser.
-func (c chooser) Repeat(now time.Time, service ident.Service) bool {
+func (c *chooser) Repeat(now time.Time, service ident.Service) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.repeats.Take(now, service, len(c.vms))
+	vms := len(c.vms)
+	ok := c.repeats.Take(now, service, vms)
+	first, repeats := c.repeats.Counts(now, service)
+	c.mu.Unlock()
+	if !ok && c.denied != nil {
+		c.denied(service, first, repeats, vms)
+	}
+	return ok
 }
 
 // options returns the servers that have room for a request: a cold one within its rate, each one with a connection to
 // spare and a queue that is not longer than the request can bear.
-func (d *dispatch) options(now time.Time, members []*roster.Member, exclude []ident.Server, usual, patience time.Duration) []place.Option {
+func (c *chooser) options(now time.Time, members []*roster.Member, exclude []ident.Server) []place.Option {
 	out := make([]place.Option, 0, len(members))
 	for _, m := range members {
 		e := m.Entry()
-		cold := m.Cold(now)
-		if slices.Contains(exclude, e.Server) || cold && !d.gate.Open(now, e.Server, d.coldRate(e.Service), d.self, d.vms) {
-			continue
+		o := place.Option{Server: e.Server, Slots: e.Slots, Away: e.Domain != c.domain, Cold: m.Cold(now)}
+		switch {
+		case slices.Contains(exclude, e.Server):
+		case o.Cold && !c.gate.Open(now, e.Server, c.coldRate(e.Service), c.self, c.vms):
+			c.passed.cold++
+		case c.places.Owed(e.Server) >= c.connections(e.Service)+waitersMost:
+			c.passed.full++
+		case c.places.Wait(now, o, c.usual) > c.patience:
+			c.passed.slow++
+		default:
+			out = append(out, o)
 		}
-		o := place.Option{Server: e.Server, Slots: e.Slots, Away: e.Domain != d.domain, Cold: cold}
-		if d.places.Owed(e.Server) >= d.connections(e.Service)+waitersMost || d.places.Wait(now, o, usual) > patience {
-			continue
-		}
-		out = append(out, o)
 	}
 	return out
 }
@@ -203,14 +222,27 @@
 	return d.places.Sent(now, s.Server, usual), wire.Target{Server: s.Server, Address: m.Entry().Address}, d.connections(s.Service), true
 }
 
-// end records how a request to a server ended.
-func (d *dispatch) end(now time.Time, r *table.Route, t place.Ticket, server ident.Server, res link.Result, names wire.Names, took time.Duration) {
+// belief is what the end of a request changes in what is believed of its server.
+type belief struct {
+	// rest is how long the server gets nothing, 0 when it may.
+	rest time.Duration
+	// back says that a server which was at rest has answered.
+	back bool
+	// cold is how long the server says it stays cold.
+	cold time.Duration
+	// wrong says that another server has answered in its place.
+	wrong bool
+}
+
+// end records how a request to a server ended and returns what that changes.
+func (d *dispatch) end(now time.Time, r *table.Route, t place.Ticket, server ident.Server, res link.Result, names wire.Names, took time.Duration) belief {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var b belief
 	var load *wire.Load
 	if res.Answer != nil {
-		if left, ok := wire.ParseMillis(res.Answer.Header.Get(names.ColdMs)); ok {
-			d.roster.Chilled(now, server, left)
+		if left, ok := wire.ParseMillis(res.Answer.Header.Get(names.ColdMs)); ok && d.roster.Chilled(now, server, left) {
+			b.cold = left
 		}
 		if l, ok := wire.ParseLoad(res.Answer.Header.Get(names.Load)); ok {
 			load = &l
@@ -219,21 +251,23 @@
 	switch res.Verdict {
 	case gather.VerdictAnswered:
 		d.pace(r).Observe(took)
-		d.places.Answered(now, t, load)
+		b.back = d.places.Answered(now, t, load)
 	case gather.VerdictRefused:
 		d.places.Refused(now, t, load)
 	case gather.VerdictMisplaced:
 		d.places.Dropped(t)
 		d.roster.Wrong(server)
+		b.wrong = true
 	case gather.VerdictUnsent, gather.VerdictLost:
 		if res.Silent {
-			d.places.Unreachable(now, t)
+			b.rest = d.places.Unreachable(now, t)
 		} else {
 			d.places.Failed(now, t)
 		}
 	case gather.VerdictFailed:
 		d.places.Failed(now, t)
 	}
+	return b
 }
 
 // dropped records that a request was taken back.
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -44,7 +44,7 @@
 func chosen(d *dispatch, now time.Time, requests int) int {
 	n := 0
 	for range requests {
-		c := chooser{d, usual, time.Hour}
+		c := &chooser{dispatch: d, usual: usual, patience: time.Hour}
 		if server, ok := c.Choose(now, "books", nil); ok {
 			d.begin(now, gather.Send{Service: "books", Server: server}, usual)
 			n++
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -82,6 +82,7 @@
 	busy    atomic.Int64
 	load    loadMeter
 	fitness fitness
+	traffic *traffic
 
 	servers  []*http.Server
 	cleanups []func()
@@ -104,7 +105,7 @@
 	rng := rand.New(rand.NewChaCha8(opts.Seed))
 	now := time.Now()
 	e := &Edge{
-		path: opts.Path, names: opts.Names, store: opts.Store, decode: opts.Decode, log: opts.Log, metrics: newMeter(),
+		path: opts.Path, names: opts.Names, store: opts.Store, decode: opts.Decode, log: opts.Log, metrics: newMeter(), traffic: newTraffic(),
 		boot: now.UnixMicro(), started: now, dispatch: newDispatch(settings, fork(rng)), quota: quota.New(now),
 		fleet: &fleet{
 			peers: peers.New(settings.Name()), rng: fork(rng),
@@ -203,6 +204,9 @@
 
 func (e *Edge) keepHouse(ctx context.Context) {
 	for n := 1; clock.Sleep(ctx, housekeeping); n++ {
+		if fields := e.traffic.take(); fields != nil {
+			e.log.Info(partTraffic, "traffic", fields...)
+		}
 		if n%summaryEvery == 0 {
 			e.summarize()
 		}
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -54,6 +54,8 @@
 	rng    *rand.Rand
 	conn   *net.UDPConn
 	client *http.Client
+	// named are the addresses that callers were last sent to.
+	named []string
 	// fetching is set while news is being fetched from another VM.
 	fetching bool
 }
@@ -87,17 +89,37 @@
 	alive := e.fleet.peers.Alive(now)
 	e.fleet.mu.Unlock()
 	e.noteMembers(events)
-	serving := direct.Serving(e.callersVMs(now), e.serversByDomain())
-	e.dispatch.mu.Lock()
-	e.dispatch.vms, e.dispatch.serving = names, serving
-	gone := e.dispatch.roster.Sweep(now)
-	e.dispatch.mu.Unlock()
+	ready := e.callersVMs(now)
+	named := direct.Choose(ready, e.serversByDomain())
+	serving := direct.Serving(ready, len(named))
+	d := e.dispatch
+	d.mu.Lock()
+	vmsBefore, servingBefore := len(d.vms), d.serving
+	d.vms, d.serving = names, serving
+	gone := d.roster.Sweep(now)
+	d.mu.Unlock()
+	if vmsBefore != len(names) || servingBefore != serving {
+		e.log.Info(partFleet, "bounds are divided anew", "vms", len(names), "vmsBefore", vmsBefore, "serving", serving, "servingBefore", servingBefore)
+	}
+	e.noteNamed(named)
 	for _, s := range gone {
 		e.log.Info(partServers, "server gone", "server", s, "reason", "its entry has not come back")
 	}
 	e.metrics.members.Set(float64(len(alive) + 1))
 }
 
+// noteNamed logs a change of the VMs that callers are sent to.
+func (e *Edge) noteNamed(named []string) {
+	named = slices.Sorted(slices.Values(named))
+	e.fleet.mu.Lock()
+	same := slices.Equal(named, e.fleet.named)
+	e.fleet.named = named
+	e.fleet.mu.Unlock()
+	if !same {
+		e.log.Info(partFleet, "callers are sent elsewhere", "count", len(named), "addresses", named)
+	}
+}
+
 func (e *Edge) noteMembers(events []peers.Event) {
 	for _, ev := range events {
 		switch ev := ev.(type) {
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -49,6 +49,7 @@
 	sends   int
 	hedges  int
 	refused int
+	passed  passed
 }
 
 type finished struct {
@@ -69,7 +70,12 @@
 		spec.MinCoverage = 1
 	}
 	patience := e.dispatch.patience(rq.rank, rq.soft.Sub(rq.arrived))
-	j := &job{edge: e, rq: rq, state: gather.New(spec), chooser: chooser{e.dispatch, usual, patience}, usual: usual}
+	j := &job{
+		edge: e, rq: rq, state: gather.New(spec), usual: usual, late: late,
+		chooser: &chooser{dispatch: e.dispatch, usual: usual, patience: patience, denied: func(s ident.Service, first, repeats, vms int) {
+			e.log.Info(partRequest, "second attempt not allowed", "id", rq.id, "service", s, "first", first, "repeats", repeats, "vms", vms)
+		}},
+	}
 	return j.run(ctx, len(spec.Shards))
 }
 
@@ -78,8 +84,9 @@
 	edge    *Edge
 	rq      *request
 	state   *gather.State
-	chooser chooser
-	usual   time.Duration
+	chooser *chooser
+	// usual and late are the usual latency of a part and the one beyond which it is late.
+	usual, late time.Duration
 	results chan finished
 	// attempts ends when the caller has gone; open counts the attempts that have not ended.
 	attempts context.Context
@@ -127,15 +134,20 @@
 	j.out.enough = j.state.Enough()
 	j.out.ran = j.state.Ran()
 	j.out.missing = j.state.Missing()
+	j.out.passed = j.chooser.passed
 	return j.out
 }
 
 func (j *job) send(sends []gather.Send) {
 	for _, s := range sends {
 		j.out.sends++
-		if s.Hedge {
+		if s.Cause == gather.CauseLate {
 			j.out.hedges++
 		}
+		if s.Cause != gather.CauseFirst {
+			j.edge.log.Info(partRequest, "part sent again", "id", j.rq.id, "service", s.Service, "server", s.Server, "attempt", s.Attempt,
+				"cause", s.Cause.String(), "afterMs", ms(s.After), "usualMs", ms(j.usual), "lateMs", ms(j.late))
+		}
 		j.open.Add(1)
 		go j.attempt(s)
 	}
@@ -177,7 +189,7 @@
 	if j.attempts.Err() != nil {
 		e.dispatch.dropped(ticket)
 	} else {
-		e.dispatch.end(now, j.rq.route, ticket, s.Server, res, e.names, now.Sub(began))
+		e.logBelief(s.Server, s.Service, e.dispatch.end(now, j.rq.route, ticket, s.Server, res, e.names, now.Sub(began)))
 		e.logAttempt(j.rq, s, res, now.Sub(began))
 	}
 	j.results <- finished{s, res}
@@ -215,6 +227,21 @@
 	e.log.Warn(partRequest, "part not answered", fields...)
 }
 
+// logBelief logs what the end of a request has changed in what is believed of its server.
+func (e *Edge) logBelief(server ident.Server, service ident.Service, b belief) {
+	switch {
+	case b.rest > 0:
+		e.log.Warn(partServers, "server rests", "server", server, "service", service, "restMs", ms(b.rest), "reason", "it cannot be reached or is silent")
+	case b.back:
+		e.log.Info(partServers, "server answers again", "server", server, "service", service)
+	case b.wrong:
+		e.log.Warn(partServers, "server left out", "server", server, "service", service, "reason", "another server has answered in its place")
+	}
+	if b.cold > 0 {
+		e.log.Info(partServers, "server is cold", "server", server, "service", service, "coldMs", ms(b.cold))
+	}
+}
+
 func ms(d time.Duration) float64 {
 	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
 }
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -27,6 +27,7 @@
 	partStore   = "store"
 	partServers = "servers"
 	partProcess = "process"
+	partTraffic = "traffic"
 )
 
 const (
@@ -89,6 +90,7 @@
 	out := e.run(r.Context(), rq)
 	if out.gone {
 		e.metrics.gone(rq)
+		e.traffic.leave()
 		e.log.Info(partRequest, "caller left", "id", rq.id, "route", rq.route.Name(), "ms", ms(time.Since(arrived)), "sends", out.sends)
 		panic(http.ErrAbortHandler)
 	}
@@ -273,12 +275,19 @@
 	if !out.ran {
 		// Callers that are refused together should not come back together.
 		again := min(max(retryLeast, time.Duration(float64(time.Until(rq.hard))*(0.5+e.dispatch.random())/4)), retryMost)
-		return refusal{status: http.StatusServiceUnavailable, text: "no server has room" + missing, again: again}
+		return refusal{status: http.StatusServiceUnavailable, text: "no server has room" + missing, again: again, inputs: out.inputs()}
 	}
 	if out.reason == gather.ReasonDeadline {
-		return refusal{status: http.StatusGatewayTimeout, text: "the time is over" + missing}
+		return refusal{status: http.StatusGatewayTimeout, text: "the time is over" + missing, inputs: out.inputs()}
+	}
+	return refusal{status: http.StatusBadGateway, text: "too few servers answered" + missing, inputs: out.inputs()}
+}
+
+// inputs returns what decided that a request got no answer, as names and values for the log.
+func (o outcome) inputs() []any {
+	return []any{
+		"sends", o.sends, "refused", o.refused, "passedCold", o.passed.cold, "passedFull", o.passed.full, "passedSlow", o.passed.slow,
 	}
-	return refusal{status: http.StatusBadGateway, text: "too few servers answered" + missing}
 }
 
 func (e *Edge) answerShards(w http.ResponseWriter, rq *request, out outcome) {
@@ -307,7 +316,7 @@
 	w.WriteHeader(http.StatusOK)
 	_, err := w.Write(body)
 	took := time.Since(rq.arrived)
-	e.metrics.answered(rq, took, float64(len(signatures))/float64(len(out.parts)))
+	e.countAnswer(rq, took, float64(len(signatures))/float64(len(out.parts)))
 	e.logAnswer(rq, out, http.StatusOK, took, err)
 }
 
@@ -325,9 +334,9 @@
 	_, err := w.Write(a.Body)
 	took := time.Since(rq.arrived)
 	if a.Status < http.StatusMultipleChoices {
-		e.metrics.answered(rq, took, 1)
+		e.countAnswer(rq, took, 1)
 	} else {
-		e.metrics.refused(rq, a.Status, took)
+		e.countRefusal(rq, a.Status, took)
 	}
 	e.logAnswer(rq, out, a.Status, took, err)
 }
@@ -351,7 +360,7 @@
 		h.Set(retryAfter, strconv.FormatFloat(no.again.Seconds(), 'f', 3, 64))
 	}
 	took := time.Since(rq.arrived)
-	e.metrics.refused(rq, no.status, took)
+	e.countRefusal(rq, no.status, took)
 	fields := []any{
 		"id", rq.id, "status", no.status, "reason", no.text, "team", rq.team, "version", rq.version, "ms", ms(took),
 		"againMs", ms(no.again),
@@ -365,9 +374,21 @@
 	http.Error(w, no.text, no.status)
 }
 
+func (e *Edge) countAnswer(rq *request, took time.Duration, coverage float64) {
+	e.metrics.answered(rq, took, coverage)
+	e.traffic.answer(took, rq.route.Aim(), coverage)
+}
+
+func (e *Edge) countRefusal(rq *request, status int, took time.Duration) {
+	e.metrics.refused(rq, status, took)
+	e.traffic.refuse(status)
+}
+
 func (e *Edge) logAnswer(rq *request, out outcome, status int, took time.Duration, err error) {
 	late := rq.route.Aim() > 0 && took > rq.route.Aim()
 	if err == nil && !late && len(out.missing) == 0 && status < http.StatusMultipleChoices {
+		e.log.Info(partRequest, "answered", "id", rq.id, "route", rq.route.Name(), "team", rq.team, "version", rq.version, "ms", ms(took),
+			"sends", out.sends, "hedges", out.hedges)
 		return
 	}
 	fields := []any{
--- a/internal/tier/gather/gather.go
+++ b/internal/tier/gather/gather.go
@@ -7,7 +7,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 )
 
-//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Verdict,Reason -trimprefix=Verdict,Reason -transform=title-lower -output=enums.go
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Verdict,Reason,Cause -trimprefix=Verdict,Reason,Cause -transform=title-lower -output=enums.go
 
 const (
 	// backoffFirst is the pause before a part goes to servers that have refused it; it doubles each time.
@@ -60,6 +60,21 @@
 	ReasonDeadline
 )
 
+// Cause is why an attempt is made.
+type Cause int
+
+// The causes.
+const (
+	// CauseFirst is the first attempt at a part.
+	CauseFirst Cause = iota
+	// CauseLate means that an earlier attempt is open and late.
+	CauseLate
+	// CauseEnded means that the earlier attempts have ended without an answer.
+	CauseEnded
+	// CauseWaited means that the servers had no room and were given a pause.
+	CauseWaited
+)
+
 // Spec is a request as it is to be answered.
 type Spec struct {
 	// Shards are the services that each hold a part; there is at least one.
@@ -90,8 +105,9 @@
 	Attempt int
 	Service ident.Service
 	Server  ident.Server
-	// Hedge says that an earlier attempt at the part is still open.
-	Hedge bool
+	Cause   Cause
+	// After is the time since the first attempt at the part.
+	After time.Duration
 }
 
 // Ended is an attempt that has ended.
@@ -305,11 +321,11 @@
 		s.close(i)
 		return nil
 	}
-	exclude := sh.tried()
+	exclude, cause := sh.tried(), CauseEnded
 	if paused {
-		exclude = sh.ran()
+		exclude, cause = sh.ran(), CauseWaited
 	}
-	if send, ok := s.repeat(now, i, c, exclude); ok {
+	if send, ok := s.repeat(now, i, c, exclude, cause); ok {
 		return []Send{send}
 	}
 	wait := backoffFirst
@@ -324,7 +340,7 @@
 	return nil
 }
 
-func (s *State) repeat(now time.Time, i int, c Chooser, exclude []ident.Server) (Send, bool) {
+func (s *State) repeat(now time.Time, i int, c Chooser, exclude []ident.Server, cause Cause) (Send, bool) {
 	server, ok := c.Choose(now, s.spec.Shards[i], exclude)
 	if !ok {
 		return Send{}, false
@@ -332,7 +348,7 @@
 	if s.shards[i].arrived() && !c.Repeat(now, s.spec.Shards[i]) {
 		return Send{}, false
 	}
-	return s.record(now, i, server), true
+	return s.record(now, i, server, cause), true
 }
 
 func (s *State) send(now time.Time, i int, c Chooser) (Send, bool) {
@@ -340,19 +356,20 @@
 	if !ok {
 		return Send{}, false
 	}
-	return s.record(now, i, server), true
+	return s.record(now, i, server, CauseFirst), true
 }
 
 func (s *State) hedge(now time.Time, i int, c Chooser) (Send, bool) {
-	send, ok := s.repeat(now, i, c, s.shards[i].tried())
-	send.Hedge = true
-	return send, ok
+	return s.repeat(now, i, c, s.shards[i].tried(), CauseLate)
 }
 
-func (s *State) record(now time.Time, i int, server ident.Server) Send {
+func (s *State) record(now time.Time, i int, server ident.Server, cause Cause) Send {
 	sh := &s.shards[i]
 	sh.attempts = append(sh.attempts, attempt{server: server, sent: now})
-	return Send{Shard: i, Attempt: len(sh.attempts) - 1, Service: s.spec.Shards[i], Server: server}
+	return Send{
+		Shard: i, Attempt: len(sh.attempts) - 1, Service: s.spec.Shards[i], Server: server, Cause: cause,
+		After: now.Sub(sh.attempts[0].sent),
+	}
 }
 
 // hedgeAt returns when a second server is asked for a part: when it is late, but in time for the other to answer.
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -184,9 +184,10 @@
 	return Ticket{server: s, id: p.next}
 }
 
-// Answered records an answer and what came with it.
-func (p *Places) Answered(now time.Time, t Ticket, load *wire.Load) {
+// Answered records an answer and what came with it, and reports whether the server had been at rest before.
+func (p *Places) Answered(now time.Time, t Ticket, load *wire.Load) (rested bool) {
 	r := p.record(now, t.server)
+	rested = r.downFor > 0
 	if o, ok := r.settle(t.id); ok {
 		r.learn(now, o)
 	}
@@ -195,6 +196,7 @@
 	if load != nil {
 		r.load, r.loadAt = *load, now
 	}
+	return rested
 }
 
 // Refused records that a server had no room; it counts as a slow answer.
@@ -214,13 +216,15 @@
 	r.result(now, 1)
 }
 
-// Unreachable records that a server could not be connected to, or went silent, and gives it a rest that grows.
-func (p *Places) Unreachable(now time.Time, t Ticket) {
+// Unreachable records that a server could not be connected to, or went silent, and returns the rest that it is given,
+// which grows each time.
+func (p *Places) Unreachable(now time.Time, t Ticket) time.Duration {
 	r := p.record(now, t.server)
 	r.settle(t.id)
 	r.result(now, 1)
 	r.downFor = min(max(downFirst, 2*r.downFor), downMost)
 	r.downUntil = now.Add(r.downFor)
+	return r.downFor
 }
 
 // Dropped takes back a request from which nothing is learnt.
--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -114,15 +114,16 @@
 	}
 }
 
-// Chilled records that a server says it is cold for some time.
-func (r *Roster) Chilled(now time.Time, s ident.Server, left time.Duration) {
+// Chilled records that a server says it is cold for some time, and reports whether it was taken to be warm.
+func (r *Roster) Chilled(now time.Time, s ident.Server, left time.Duration) bool {
 	old := r.members[s]
 	if old == nil || left <= 0 {
-		return
+		return false
 	}
 	m := *old
 	m.coldUntil = later(m.coldUntil, now.Add(left))
 	r.replace(old, &m)
+	return !old.Cold(now)
 }
 
 // SetOut takes a failure domain out or back and reports whether that is a change.
--- a/internal/tier/story/story.go
+++ b/internal/tier/story/story.go
@@ -17,7 +17,7 @@
 const lineMost = 1 << 20
 
 // surrounding are the lines without a request's id that may explain it.
-var surrounding = []string{"process", "store", "fleet", "servers"}
+var surrounding = []string{"process", "store", "fleet", "servers", "traffic"}
 
 // Line is one log line.
 type Line struct {
