link, gather, edge: take back what has not been sent when a request ends

Ruled out: kept connections that died with their server; what was written on them may have arrived.

Change: each attempt has a permit that is either used just before its request is written or taken back when the request ends; what was taken back has not run, and is not sent to servers after the answer either.

TestNothingSent failed before.

--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -87,14 +87,21 @@
 	chooser *chooser
 	// usual and late are the usual latency of a part and the one beyond which it is late.
 	usual, late time.Duration
-	results chan finished
+	results     chan finished
 	// attempts ends when the caller has gone; open counts the attempts that have not ended.
 	attempts context.Context
 	cancel   context.CancelFunc
 	open     sync.WaitGroup
+	sends    []sent
 	out      outcome
 }
 
+// sent is an attempt that was begun, with what is needed to take it back.
+type sent struct {
+	gather.Send
+	permit *link.Permit
+}
+
 func (j *job) run(ctx context.Context, shards int) outcome {
 	// Each part has few attempts, and none of them may be held up by a job that has ended.
 	j.results = make(chan finished, shards*attemptsHeld)
@@ -126,6 +133,12 @@
 const attemptsHeld = 8
 
 func (j *job) finish() outcome {
+	// What has not been sent is of no use any more, and then it has not run.
+	for _, s := range j.sends {
+		if s.permit.TakeBack() {
+			j.state.Withdrawn(s.Shard, s.Attempt)
+		}
+	}
 	go func() {
 		j.open.Wait()
 		j.cancel()
@@ -148,8 +161,10 @@
 			j.edge.log.Info(partRequest, "part sent again", "id", j.rq.id, "service", s.Service, "server", s.Server, "attempt", s.Attempt,
 				"cause", s.Cause.String(), "afterMs", ms(s.After), "usualMs", ms(j.usual), "lateMs", ms(j.late))
 		}
+		permit := &link.Permit{}
+		j.sends = append(j.sends, sent{s, permit})
 		j.open.Add(1)
-		go j.attempt(s)
+		go j.attempt(s, permit)
 	}
 	if len(sends) > 0 {
 		j.edge.load.add(time.Now(), len(sends))
@@ -172,7 +187,7 @@
 	j.send(j.state.Ended(now, gather.Ended{Shard: f.send.Shard, Attempt: f.send.Attempt, Verdict: f.res.Verdict}, j.chooser))
 }
 
-func (j *job) attempt(s gather.Send) {
+func (j *job) attempt(s gather.Send, permit *link.Permit) {
 	defer j.open.Done()
 	e := j.edge
 	began := time.Now()
@@ -183,10 +198,10 @@
 	}
 	res := e.links.Do(j.attempts, link.Call{
 		Target: target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
-		Expires: j.expires(), Connections: connections,
+		Expires: j.expires(), Connections: connections, Permit: permit,
 	})
 	now := time.Now()
-	if j.attempts.Err() != nil {
+	if j.attempts.Err() != nil || res.TakenBack {
 		e.dispatch.dropped(ticket)
 	} else {
 		e.logBelief(s.Server, s.Service, e.dispatch.end(now, j.rq.route, ticket, s.Server, res, e.names, now.Sub(began)))
--- /dev/null
+++ b/internal/tier/edge/request_test.go
@@ -0,0 +1,95 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/gather"
+	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/roster"
+	"kumquatreel.example/kumquatreel/internal/tier/table"
+	"kumquatreel.example/kumquatreel/internal/tier/wire"
+)
+
+// closedAddress returns an address at which connections are refused.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return l.Addr().String()
+}
+
+// silentAddress returns an address at which connections neither open nor fail, like those of a host without power.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}).String()
+	// The queue of connections holds one more than its length; with it full, nothing more is answered.
+	for range 2 {
+		c, err := (&net.Dialer{Timeout: 100 * time.Millisecond}).DialContext(t.Context(), "tcp", address)
+		if err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}
+	return address
+}
+
+// newTestEdge returns what of an Edge runs requests, with one server at each address for a shard of its own.
+func newTestEdge(t *testing.T, addresses ...string) (*Edge, *request) {
+	t.Helper()
+	d := newTestDispatch(t)
+	shards := make([]ident.Service, len(addresses))
+	for i, address := range addresses {
+		shards[i] = ident.Service([]byte{byte('a' + i)})
+		d.roster.Seen(start, roster.Entry{Server: ident.Server(shards[i]) + "-1", Service: shards[i], Address: address, Slots: 2, Started: 1})
+	}
+	d.table = table.New(table.Text{Routes: []table.RouteText{{
+		Name: "search", Host: "h", Prefix: "/", Shards: shards, Kind: table.KindIdempotent, MinCoverage: 0.75, MaxAttempts: 2,
+	}}})
+	links, cleanup := link.New(wire.Names{RequestID: "X-Id", Signature: "X-Signature", NotRun: "X-Not-Run", RemainingMs: "X-Left", ExpectedServer: "X-Server"})
+	t.Cleanup(cleanup)
+	now := time.Now()
+	rq := &request{
+		id: "r1", route: d.table.Match("h", "/"), method: http.MethodGet, head: []byte("GET / HTTP/1.1\r\nHost: h\r\n"), arrived: now,
+		soft: now.Add(time.Second), hard: now.Add(2 * time.Second),
+	}
+	return &Edge{dispatch: d, links: links}, rq
+}
+
+// All servers of a domain lose power: some refuse connections, others are silent. A request that reached none of them has
+// not run, and its caller may be told so.
+func TestNothingSent(t *testing.T) {
+	closed, silent := closedAddress(t), silentAddress(t)
+	e, rq := newTestEdge(t, closed, closed, silent, silent)
+	out := e.run(context.Background(), rq)
+	if out.enough || out.reason != gather.ReasonUnreachable {
+		t.Fatalf("ended with %v, enough %v; want it unreachable", out.reason, out.enough)
+	}
+	if out.ran {
+		t.Error("counts as run, though no server was reached")
+	}
+}
--- a/internal/tier/gather/gather.go
+++ b/internal/tier/gather/gather.go
@@ -220,6 +220,14 @@
 	return out
 }
 
+// Withdrawn takes an attempt that was taken back before it was sent; it ends no request and causes no sends.
+func (s *State) Withdrawn(shard, attempt int) {
+	a := &s.shards[shard].attempts[attempt]
+	if !a.ended {
+		a.ended, a.verdict = true, VerdictUnsent
+	}
+}
+
 // Next returns when the state wants to be driven, and false when it is done.
 func (s *State) Next(now time.Time) (time.Time, bool) {
 	if s.done {
--- a/internal/tier/gather/gather_test.go
+++ b/internal/tier/gather/gather_test.go
@@ -244,3 +244,25 @@
 		}
 	})
 }
+
+func TestWithdrawn(t *testing.T) {
+	t.Run("leaves a request that was sent nowhere as not run", func(t *testing.T) {
+		c, s := &stock{}, gather.New(single(true))
+		s.Start(start, c)
+		s.Tick(after(400), c)
+		s.Withdrawn(0, 0)
+		assertDone(t, s, gather.ReasonDeadline, false)
+		if s.Ran() {
+			t.Error("counts as run, though its only attempt was taken back")
+		}
+	})
+	t.Run("does not undo an attempt that has ended", func(t *testing.T) {
+		c, s := &stock{}, gather.New(single(false))
+		s.Start(start, c)
+		end(s, c, 5, 0, 0, gather.VerdictLost)
+		s.Withdrawn(0, 0)
+		if !s.Ran() {
+			t.Error("counts as not run, though an answer was lost")
+		}
+	})
+}
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -28,6 +28,7 @@
 	errUntagged  = errors.New("an answer on a used connection does not say which request it belongs to")
 	errTooLarge  = errors.New("the answer is too large")
 	errBusy      = errors.New("no connection is free")
+	errTakenBack = errors.New("the request was taken back before it was sent")
 	errTruncated = errors.New("the answer ended early")
 )
 
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -44,6 +44,8 @@
 	Expires time.Time
 	// Connections is how many connections the VM may have to the server.
 	Connections int
+	// Permit allows the call to be taken back until it is sent.
+	Permit *Permit
 }
 
 // Answer is a server's whole answer.
@@ -62,6 +64,8 @@
 	Silent bool
 	// Dialed says that a connection was opened for the call.
 	Dialed bool
+	// TakenBack says that the call was taken back before it was sent.
+	TakenBack bool
 }
 
 // Links holds the connections of a VM to all backend servers.
@@ -95,6 +99,10 @@
 	if err != nil {
 		return Result{Verdict: gather.VerdictUnsent, Err: err, Silent: !errors.Is(err, errBusy) && !errors.Is(err, context.Canceled), Dialed: dialed}
 	}
+	if !c.Permit.use() {
+		p.put(cn, true)
+		return Result{Verdict: gather.VerdictUnsent, Err: errTakenBack, TakenBack: true, Dialed: dialed}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	answer, keep, sent, err := l.exchange(cn, c)
 	keep = stop() && keep
--- a/internal/tier/link/link_test.go
+++ b/internal/tier/link/link_test.go
@@ -71,6 +71,7 @@
 	return link.Call{
 		Target: wire.Target{Server: "a", Address: s.listener.Addr().String()}, Method: http.MethodGet, RequestID: id,
 		Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\n"), Expires: time.Now().Add(5 * time.Second), Connections: 1,
+		Permit: &link.Permit{},
 	}
 }
 
@@ -214,3 +215,28 @@
 		}
 	})
 }
+
+// A request that is taken back while its connection opens is not sent, and one that was sent cannot be taken back.
+func TestPermit(t *testing.T) {
+	t.Run("taken back before", func(t *testing.T) {
+		s, l := newScript(t, ok("one")), newLinks(t)
+		c := s.call("r1")
+		if !c.Permit.TakeBack() || !c.Permit.TakeBack() {
+			t.Error("a request that was not sent cannot be taken back")
+		}
+		r := l.Do(context.Background(), c)
+		assertVerdict(t, r, gather.VerdictUnsent)
+		if !r.TakenBack {
+			t.Error("the result does not say that the request was taken back")
+		}
+		assertAnswered(t, l.Do(context.Background(), s.call("r2")), "one")
+	})
+	t.Run("sent before", func(t *testing.T) {
+		s, l := newScript(t, ok("one")), newLinks(t)
+		c := s.call("r1")
+		assertAnswered(t, l.Do(context.Background(), c), "one")
+		if c.Permit.TakeBack() {
+			t.Error("a request that was sent is taken back")
+		}
+	})
+}
