deploy, kumquatreel: check the settings template and the deploy file

Cause: a fault in either showed only when the platform started a process: the template was never rendered by a test of ours.

Weighed: a library for templates; none knows this dialect (JSON filter, commas between entries, index of an entry).

--- a/cmd/kumquatreel/check.go
+++ b/cmd/kumquatreel/check.go
@@ -10,10 +10,12 @@
 	"kumquatreel.example/kumquatreel/internal/conf/config"
 	"kumquatreel.example/kumquatreel/internal/conf/jsonc"
 	"kumquatreel.example/kumquatreel/internal/conf/setup"
+	"kumquatreel.example/kumquatreel/platform/deploy"
 )
 
 type checkCommand struct {
-	Kind string `long:"kind" choice:"settings" choice:"edge" choice:"configuration" choice:"vms" default:"settings" description:"what the files hold"`
+	Kind string `long:"kind" choice:"settings" choice:"edge" choice:"template" choice:"deploy" choice:"configuration" choice:"vms" default:"settings" description:"what the files hold"`
+	Root string `long:"root" default:"." description:"folder from which the paths in a deploy file start"`
 	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
@@ -54,6 +56,10 @@
 		_, err = catlog.Parse(1, raw)
 	case "edge":
 		_, err = setup.Parse(raw)
+	case "template":
+		err = deploy.CheckTemplate(raw)
+	case "deploy":
+		err = deploy.CheckFile(raw, c.Root)
 	case "vms":
 		_, err = catlog.ParseVMs(1, raw)
 	default:
--- a/cmd/kumquatreel/main.go
+++ b/cmd/kumquatreel/main.go
@@ -30,7 +30,7 @@
 		},
 		{
 			Name: "check", Short: "Check settings and documents",
-			Long: "Names every fault in settings files and published documents; exits with 1 when there is one.\n\nExample: kumquatreel check --kind configuration examples/registry/configuration.json",
+			Long: "Names every fault in settings files, their template, the deploy file and published documents; exits with 1 when there is one.\n\nExample: kumquatreel check --kind configuration examples/registry/configuration.json",
 			Run:  &checkCommand{},
 		},
 		{
