--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -85,7 +85,10 @@
 	switch {
 	case !e.Leaving:
 		m.leftAt = time.Time{}
-	case m.leftAt.IsZero() || old != nil && old.lapsed:
+	case fresh:
+		// Nobody can tell how long ago it began to leave.
+		m.leftAt = now.Add(-r.drain)
+	case m.leftAt.IsZero() || old.lapsed:
 		m.leftAt = now
 	}
 	r.replace(old, m)
--- a/internal/tier/roster/roster_test.go
+++ b/internal/tier/roster/roster_test.go
@@ -18,6 +18,16 @@
 	return roster.Entry{Server: name, Service: "books", Address: "127.0.0.1:1", Domain: "north", Slots: 2, Started: 1}
 }
 
+// leave has a server say that it leaves; one that is not known yet is seen to stay first.
+func leave(r *roster.Roster, now time.Time, name ident.Server) {
+	if r.Member(name) == nil {
+		r.Seen(now, entry(name))
+	}
+	e := entry(name)
+	e.Leaving = true
+	r.Seen(now, e)
+}
+
 func names(members []*roster.Member) []ident.Server {
 	var out []ident.Server
 	for _, m := range members {
@@ -38,26 +48,27 @@
 	t.Run("are the servers that stay", func(t *testing.T) {
 		r := roster.New(drain)
 		r.Seen(start, entry("a"))
-		leaving := entry("b")
-		leaving.Leaving = true
-		r.Seen(start, leaving)
+		leave(r, start, "b")
 		assertCandidates(t, r, start, []ident.Server{"a"}, []ident.Server{"b"})
 	})
 	t.Run("leave out one that leaves after a third of its time", func(t *testing.T) {
 		r := roster.New(drain)
-		leaving := entry("b")
-		leaving.Leaving = true
-		r.Seen(start, leaving)
+		leave(r, start, "b")
 		assertCandidates(t, r, start.Add(1020*time.Millisecond), nil, nil)
 	})
 	t.Run("count the time of leaving from its first notice", func(t *testing.T) {
 		r := roster.New(drain)
-		leaving := entry("b")
-		leaving.Leaving = true
-		r.Seen(start, leaving)
-		r.Seen(start.Add(900*time.Millisecond), leaving)
+		leave(r, start, "b")
+		leave(r, start.Add(900*time.Millisecond), "b")
 		assertCandidates(t, r, start.Add(1100*time.Millisecond), nil, nil)
 	})
+	t.Run("leave out one that leaves when it is first seen, as a VM sees it that has just started", func(t *testing.T) {
+		r := roster.New(drain)
+		e := entry("b")
+		e.Leaving = true
+		r.Seen(start, e)
+		assertCandidates(t, r, start, nil, nil)
+	})
 	t.Run("leave out a domain that is taken out, and take it back", func(t *testing.T) {
 		r := roster.New(drain)
 		r.Seen(start, entry("a"))
@@ -101,9 +112,7 @@
 	})
 	t.Run("of a server that had said it leaves is for good at once", func(t *testing.T) {
 		r := roster.New(drain)
-		leaving := entry("a")
-		leaving.Leaving = true
-		r.Seen(start, leaving)
+		leave(r, start, "a")
 		r.Gone(start, "a")
 		assertCandidates(t, r, start, nil, nil)
 	})
@@ -114,9 +123,7 @@
 	const short = 900 * time.Millisecond
 	t.Run("of a server that has said it leaves", func(t *testing.T) {
 		r := roster.New(short)
-		leaving := entry("a")
-		leaving.Leaving = true
-		r.Seen(start, leaving)
+		leave(r, start, "a")
 		assertCandidates(t, r, start.Add(200*time.Millisecond), nil, []ident.Server{"a"})
 		assertCandidates(t, r, start.Add(short), nil, nil)
 	})
