peers: outside the core, ask VMs of the own failure domain and try no strangers while the core lives

Cause: each VM outside the core asked any two of it, three quarters of them in other domains, and tried three VMs a time that it had only been told of, which answered: six messages a round where two are needed.

Ruled out: asking more rarely; a VM counts as alive for 1.5 s, and two rounds may be lost.

Change: first those of the core in the own domain that count as alive, any of it now and then or when there are none; strangers are for the core, and for a VM that has lost it.

--- a/internal/tier/peers/circle.go
+++ b/internal/tier/peers/circle.go
@@ -12,11 +12,13 @@
 	// coreSize is how many VMs, those that callers are sent to first, tell each other all. In a larger fleet the others
 	// tell a few of them, and hear of the rest in the answer.
 	coreSize = 12
-	// outerTells is how many of the core a VM outside it tells at a time.
+	// outerTells is how many of the core a VM outside it tells at a time: those in its own failure domain, and with awayShare
+	// one of all.
 	outerTells = 2
+	awayShare  = 0.1
 	// coreFresh is how long ago a VM may have been heard from to count for the core.
 	coreFresh = 4 * time.Second
-	// hintTells is how many VMs that were only told of are tried at a time.
+	// hintTells is how many VMs that were only told of are tried at a time, by the core and by VMs that have lost it.
 	hintTells = 3
 	// askPeriods is how many heartbeats pass between two for which a VM of the core asks for an answer.
 	askPeriods = 3
@@ -28,6 +30,10 @@
 type Circle struct {
 	core   map[ident.VM]string
 	inside bool
+	// near are the addresses of the core in the VM's own failure domain that count as alive.
+	near []string
+	// alive is how many others of the core count as alive.
+	alive int
 }
 
 // Has reports whether a VM is in the core.
@@ -51,13 +57,19 @@
 	c := Circle{core: make(map[ident.VM]string, coreSize)}
 	for _, d := range ranked[:min(coreSize, len(ranked))] {
 		c.core[d.VM] = d.Address
+		if e := p.members[d.VM]; e != nil && e.Alive(now) {
+			c.alive++
+			if d.Domain == self.Domain {
+				c.near = append(c.near, d.Address)
+			}
+		}
 	}
 	c.inside = c.Has(self.VM)
 	return c
 }
 
-// Targets returns the addresses to tell at one time: the core, or outside it a few of it; some of those only told of;
-// the seeds until others are known and now and then; and all when the VM leaves.
+// Targets returns the addresses to tell at one time: the core, or outside it a few of it; for the core, and where it is lost,
+// some of those only told of; the seeds until others are known and now and then; and all when the VM leaves.
 func (p *Peers) Targets(c Circle, self Digest, seeds []string, rng *rand.Rand) []string {
 	if self.Phase == PhaseLeaving || self.Phase == PhaseGone {
 		return without(p.Addresses(), self.Address)
@@ -70,15 +82,29 @@
 	if c.inside {
 		rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	} else {
-		out = sample(out, outerTells, rng)
+		out = c.ask(out, rng)
+	}
+	if c.inside || c.alive < outerTells {
+		out = append(out, sample(p.strangers(), hintTells, rng)...)
 	}
-	out = append(out, sample(p.strangers(), hintTells, rng)...)
 	if len(p.members) < len(seeds) || rng.Float64() < seedShare {
 		out = append(out, seeds...)
 	}
 	return unique(out, self.Address)
 }
 
+// ask returns whom a VM outside the core asks, given the addresses of the whole core.
+func (c Circle) ask(all []string, rng *rand.Rand) []string {
+	if len(c.near) == 0 {
+		return sample(all, outerTells, rng)
+	}
+	out := sample(slices.Sorted(slices.Values(c.near)), outerTells, rng)
+	if rng.Float64() < awayShare {
+		out = append(out, sample(all, 1, rng)...)
+	}
+	return out
+}
+
 // Asks reports whether the target at an index of a VM's targets should answer: outside the core all, inside one now and
 // then, so that VMs that come into the core together hear of each other.
 func (c Circle) Asks(serial int64, index int) bool {
--- a/internal/tier/peers/circle_test.go
+++ b/internal/tier/peers/circle_test.go
@@ -17,7 +17,8 @@
 	rng  *rand.Rand
 	vms  []*villager
 	cut  map[string]bool
-	sent int
+	// sent counts messages, away those to another failure domain.
+	sent, away int
 }
 
 type villager struct {
@@ -25,6 +26,8 @@
 	digest peers.Digest
 }
 
+var domains = []ident.Domain{"east", "north", "south", "west"}
+
 func newTown(n int) *town {
 	t := &town{rng: rand.New(rand.NewPCG(1, 1)), cut: make(map[string]bool)}
 	for i := range n {
@@ -35,7 +38,7 @@
 		}
 		t.vms = append(t.vms, &villager{
 			peers:  peers.New(ident.VM(name)),
-			digest: peers.Digest{VM: ident.VM(name), Address: name, Boot: 1, Phase: peers.PhaseReady, Power: power},
+			digest: peers.Digest{VM: ident.VM(name), Address: name, Boot: 1, Phase: peers.PhaseReady, Power: power, Domain: domains[i%len(domains)]},
 		})
 	}
 	return t
@@ -71,6 +74,9 @@
 	m.From = from.digest
 	t.sent++
 	v := t.vms[i]
+	if v.digest.Domain != from.digest.Domain {
+		t.away++
+	}
 	v.peers.Heard(now, m)
 	if m.Reply {
 		c := v.peers.Circle(now, v.digest, strongest)
@@ -148,3 +154,22 @@
 		t.Errorf("a VM of 80 sends %.0f messages in four seconds, one of 20 sends %.0f", large, small)
 	}
 }
+
+// Bytes between failure domains are dear: a VM outside the core asks VMs of the core in its own domain, and others only now
+// and then, so that each part of the core knows of it.
+func TestAskNear(t *testing.T) {
+	w := newTown(81)
+	w.run(0, 4*time.Second)
+	w.sent, w.away = 0, 0
+	w.run(4*time.Second, 8*time.Second)
+	const core, rounds = 12, 10
+	inside := core * (core - 1) * rounds
+	if outside := w.away - inside; outside > (w.sent-inside)/4 {
+		t.Errorf("%d of %d messages outside the core go to other failure domains, want a quarter at most", outside, w.sent-inside)
+	}
+	for _, v := range w.vms {
+		if known := len(v.peers.Alive(start.Add(8 * time.Second))); known < core-1 {
+			t.Errorf("%s knows of %d others, want the core", v.digest.VM, known)
+		}
+	}
+}
