--- a/internal/tier/peers/circle_test.go
+++ b/internal/tier/peers/circle_test.go
@@ -14,9 +14,9 @@
 
 // town is a fleet in virtual time whose VMs tell each other as the edge does; the first three are the seeds.
 type town struct {
-	rng  *rand.Rand
-	vms  []*villager
-	cut  map[string]bool
+	rng *rand.Rand
+	vms []*villager
+	cut map[string]bool
 	// sent counts messages, away those to another failure domain.
 	sent, away int
 }
