peers, warmup, repeat: divide bounds for the fleet among the core, and log its members only

Cause: bounds of repeats and of cold servers were divided among all VMs that one had heard of lately. Of the cold servers' rates most parts lay with VMs that have no callers.

Ruled out: a count of the fleet in each heartbeat; it says how many, not which VMs hold the parts of a small rate.

Change: Sharers, the core as it was for as long as repeats count, share what is for the fleet; others have no part. peers.Names is gone; what its tests promised of silent VMs stands in TestSharers, of remembering in TestTick.

--- a/internal/limit/repeat/repeat.go
+++ b/internal/limit/repeat/repeat.go
@@ -42,15 +42,15 @@
 	r.first[r.at%slots]++
 }
 
-// Take counts a repeat and reports whether the bounds allow it, for a VM that is one of some.
-func (b *Budget) Take(now time.Time, s ident.Service, members int) bool {
+// Take counts a repeat and reports whether the bounds allow it, for a VM with a part of the fixed number for the fleet.
+func (b *Budget) Take(now time.Time, s ident.Service, part float64) bool {
 	r := b.ring(now, s)
 	first, repeats := 0, 0
 	for i := range slots {
 		first += r.first[i]
 		repeats += r.repeats[i]
 	}
-	allowed := keepRatio*b.terms.Ratio*float64(first) + keepSlack*b.terms.Slack/float64(max(1, members))
+	allowed := keepRatio*b.terms.Ratio*float64(first) + keepSlack*b.terms.Slack*part
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/internal/limit/repeat/repeat_test.go
+++ b/internal/limit/repeat/repeat_test.go
@@ -16,7 +16,7 @@
 func take(b *repeat.Budget, now time.Time, members int) int {
 	n := 0
 	for range 1000 {
-		if b.Take(now, "books", members) {
+		if b.Take(now, "books", 1/float64(members)) {
 			n++
 		}
 	}
@@ -74,7 +74,7 @@
 			}
 			b.First(now, "books")
 			first[step]++
-			if b.Take(now, "books", members) {
+			if b.Take(now, "books", 1/float64(members)) {
 				repeats[step]++
 			}
 		}
--- a/internal/limit/warmup/warmup.go
+++ b/internal/limit/warmup/warmup.go
@@ -1,6 +1,7 @@
 package warmup
 
 import (
+	"slices"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
@@ -34,14 +35,14 @@
 // Forget drops a server that is no longer cold.
 func (g *Gate) Forget(s ident.Server) { delete(g.next, s) }
 
-// share returns the VM's part of a server's rate, in requests per second.
+// share returns the VM's part of a server's rate, in requests per second; one that is no member has none.
 func share(s ident.Server, rate float64, self ident.VM, members []ident.VM) float64 {
-	if rate <= 0 {
+	if rate <= 0 || !slices.Contains(members, self) {
 		return 0
 	}
 	holders := max(1, min(len(members), int(rate/leastRate)))
 	if holders >= len(members) {
-		return rate / float64(max(1, len(members)))
+		return rate / float64(len(members))
 	}
 	for _, vm := range ident.Rank("cold:"+string(s), members)[:holders] {
 		if vm == self {
--- a/internal/limit/warmup/warmup_test.go
+++ b/internal/limit/warmup/warmup_test.go
@@ -74,3 +74,13 @@
 		}
 	})
 }
+
+func TestOutside(t *testing.T) {
+	var g warmup.Gate
+	if g.Open(start, "a", 100, "vm9", []ident.VM{"vm0", "vm1"}) {
+		t.Error("open for a VM that shares no bounds")
+	}
+	if !g.Open(start, "a", 0, "vm9", []ident.VM{"vm0", "vm1"}) {
+		t.Error("closed, though the server has no bound")
+	}
+}
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -49,7 +49,7 @@
 	gate    warmup.Gate
 	paces   map[ident.Route]*pace.Pace
 	table   *table.Table
-	// vms are the VMs that the fleet's bounds are divided among, this one included.
+	// vms are the VMs that the fleet's bounds are divided among: those that callers are sent to first.
 	vms []ident.VM
 	// serving is how many VMs serve callers, this one included.
 	serving int
@@ -116,7 +116,7 @@
 	// passed counts the servers that were passed over for the request, and why.
 	passed passed
 	// denied is called for each repeat that the bounds do not allow.
-	denied func(service ident.Service, first, repeats, vms int)
+	denied func(service ident.Service, first, repeats int, part float64)
 }
 
 // passed counts servers that got no request.
@@ -142,16 +142,24 @@
 // Repeat implements gather.Chooser.
 func (c *chooser) Repeat(now time.Time, service ident.Service) bool {
 	c.mu.Lock()
-	vms := len(c.vms)
-	ok := c.repeats.Take(now, service, vms)
+	part := c.part()
+	ok := c.repeats.Take(now, service, part)
 	first, repeats := c.repeats.Counts(now, service)
 	c.mu.Unlock()
 	if !ok && c.denied != nil {
-		c.denied(service, first, repeats, vms)
+		c.denied(service, first, repeats, part)
 	}
 	return ok
 }
 
+// part returns the VM's part of what is divided among VMs, which is 0 for one that callers are not sent to first.
+func (d *dispatch) part() float64 {
+	if !slices.Contains(d.vms, d.self) {
+		return 0
+	}
+	return 1 / float64(len(d.vms))
+}
+
 // options returns the servers that have room for a request: a cold one within its rate, each one with a connection to
 // spare and a queue that is not longer than the request can bear.
 func (c *chooser) options(now time.Time, members []*roster.Member, exclude []ident.Server) []place.Option {
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -50,11 +50,12 @@
 	peers  *peers.Peers
 	serial int64
 	// bytes counts what was sent in heartbeats.
-	bytes  int64
-	rng    *rand.Rand
-	conn   *net.UDPConn
-	codec  *peers.Codec
-	client *http.Client
+	bytes   int64
+	rng     *rand.Rand
+	conn    *net.UDPConn
+	codec   *peers.Codec
+	client  *http.Client
+	sharers peers.Sharers
 	// named are the addresses that callers were last sent to.
 	named []string
 	// fetching is set while news is being fetched from another VM.
@@ -86,10 +87,13 @@
 	now := time.Now()
 	e.fleet.mu.Lock()
 	events := e.fleet.peers.Tick(now)
-	names := e.fleet.peers.Names()
 	alive := e.fleet.peers.Alive(now)
 	e.fleet.mu.Unlock()
-	e.noteMembers(events)
+	c := e.circle()
+	e.noteMembers(c, events)
+	e.fleet.mu.Lock()
+	names := e.fleet.sharers.Update(now, c, e.settings.Load().RepeatWindow())
+	e.fleet.mu.Unlock()
 	ready := e.callersVMs(now)
 	named := direct.Choose(ready, e.serversByDomain())
 	serving := direct.Serving(ready, len(named))
@@ -121,17 +125,18 @@
 	}
 }
 
-func (e *Edge) noteMembers(events []peers.Event) {
+// noteMembers logs what is believed of VMs of the core and of those that end; others are heard of now and then only.
+func (e *Edge) noteMembers(c peers.Circle, events []peers.Event) {
 	for _, ev := range events {
 		switch ev := ev.(type) {
 		case peers.Joined:
-			e.log.Info(partFleet, "VM joined", describe(ev.Member)...)
+			e.noteMember(c, e.log.Info, "VM joined", ev.Member)
 		case peers.Back:
-			e.log.Info(partFleet, "VM is heard from again", describe(ev.Member)...)
+			e.noteMember(c, e.log.Info, "VM is heard from again", ev.Member)
 		case peers.Silent:
-			e.log.Warn(partFleet, "VM is silent", append(describe(ev.Member), "agoMs", ms(time.Since(ev.Member.Heard())))...)
+			e.noteMember(c, e.log.Warn, "VM is silent", ev.Member, "agoMs", ms(time.Since(ev.Member.Heard())))
 		case peers.Changed:
-			e.log.Info(partFleet, "VM is in another phase", append(describe(ev.Member), "before", ev.Before.String())...)
+			e.noteMember(c, e.log.Info, "VM is in another phase", ev.Member, "before", ev.Before.String())
 			if ev.Member.Digest().Phase == peers.PhaseGone {
 				e.quotaMu.Lock()
 				e.quota.Left(ev.Member.Digest().Process())
@@ -141,9 +146,13 @@
 	}
 }
 
-func describe(m peers.Member) []any {
+func (e *Edge) noteMember(c peers.Circle, write func(prefix, text string, fields ...any), text string, m peers.Member, more ...any) {
 	d := m.Digest()
-	return []any{"vm", d.VM, "phase", d.Phase.String(), "revision", d.Revision, "reading", d.Reading}
+	if ends := d.Phase == peers.PhaseLeaving || d.Phase == peers.PhaseGone; !ends && !c.Has(d.VM) {
+		return
+	}
+	fields := []any{"vm", d.VM, "phase", d.Phase.String(), "revision", d.Revision, "reading", d.Reading}
+	write(partFleet, text, append(fields, more...)...)
 }
 
 func (e *Edge) digest(now time.Time) peers.Digest {
@@ -312,7 +321,9 @@
 	e.quota.Heard(now, m.From.Process(), m.From.Teams)
 	e.quota.Adopt(now, m.Levels)
 	e.quotaMu.Unlock()
-	e.noteMembers(events)
+	if len(events) > 0 {
+		e.noteMembers(e.circle(), events)
+	}
 	if m.Reply {
 		e.post(e.reply(now, m.From.VM), m.From.Address)
 	}
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -72,8 +72,8 @@
 	patience := e.dispatch.patience(rq.rank, rq.soft.Sub(rq.arrived))
 	j := &job{
 		edge: e, rq: rq, state: gather.New(spec), usual: usual, late: late,
-		chooser: &chooser{dispatch: e.dispatch, usual: usual, patience: patience, denied: func(s ident.Service, first, repeats, vms int) {
-			e.log.Info(partRequest, "second attempt not allowed", "id", rq.id, "service", s, "first", first, "repeats", repeats, "vms", vms)
+		chooser: &chooser{dispatch: e.dispatch, usual: usual, patience: patience, denied: func(s ident.Service, first, repeats int, part float64) {
+			e.log.Info(partRequest, "second attempt not allowed", "id", rq.id, "service", s, "first", first, "repeats", repeats, "part", part)
 		}},
 	}
 	return j.run(ctx, len(spec.Shards))
--- a/internal/tier/peers/circle_test.go
+++ b/internal/tier/peers/circle_test.go
@@ -24,6 +24,9 @@
 type villager struct {
 	peers  *peers.Peers
 	digest peers.Digest
+	// sharers are those among whom the VM divides bounds for the fleet.
+	divided peers.Sharers
+	sharers []ident.VM
 }
 
 var domains = []ident.Domain{"east", "north", "south", "west"}
@@ -57,6 +60,7 @@
 		for _, v := range t.vms {
 			v.peers.Tick(now)
 			c := v.peers.Circle(now, v.digest, strongest)
+			v.sharers = v.divided.Update(now, c, span)
 			for i, to := range v.peers.Targets(c, v.digest, []string{"vm00", "vm01", "vm02"}, t.rng) {
 				ask := at < time.Second || c.Asks(int64(at/(400*time.Millisecond)), i)
 				t.post(now, v, to, peers.Message{Reply: ask, Known: v.peers.Known(8, t.rng)})
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -212,18 +212,6 @@
 	return out
 }
 
-// Names returns the names of the remembered members and of the VM itself, in order; those that have ended are left out.
-func (p *Peers) Names() []ident.VM {
-	out := []ident.VM{p.self}
-	for name, e := range p.members {
-		if e.digest.Phase != PhaseGone {
-			out = append(out, name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 // Alive returns the members that count as alive, in order of name.
 func (p *Peers) Alive(now time.Time) []Member {
 	return slices.DeleteFunc(p.Members(), func(m Member) bool { return !m.Alive(now) })
--- a/internal/tier/peers/peers_test.go
+++ b/internal/tier/peers/peers_test.go
@@ -75,9 +75,6 @@
 		last.From.Phase = peers.PhaseGone
 		p.Heard(start, last)
 		assertAlive(t, p, start)
-		if names := p.Names(); !slices.Equal(names, []ident.VM{"self"}) {
-			t.Errorf("the bounds are divided among %v, want the VM alone", names)
-		}
 	})
 }
 
@@ -101,16 +98,16 @@
 			t.Errorf("%d events, want none", n)
 		}
 	})
-	t.Run("counts a silent VM for a while, as it may spend its part", func(t *testing.T) {
+	t.Run("remembers a silent VM for a while, so that it is found again", func(t *testing.T) {
 		p := peers.New("self")
 		p.Heard(start, word("a", 1, 1))
-		p.Tick(start.Add(5 * time.Second))
-		if n := len(p.Names()); n != 2 {
-			t.Errorf("the bounds are divided among %d, want 2", n)
+		p.Tick(start.Add(11 * time.Second))
+		if n := len(p.Members()); n != 1 {
+			t.Errorf("%d are remembered, want 1", n)
 		}
 		p.Tick(start.Add(12 * time.Second))
-		if n := len(p.Names()); n != 1 {
-			t.Errorf("the bounds are divided among %d, want 1", n)
+		if n := len(p.Members()); n != 0 {
+			t.Errorf("%d are remembered, want none", n)
 		}
 	})
 	t.Run("remembers addresses that others told of", func(t *testing.T) {
