edge, source: take pages of the store as they come, and ask again for one page alone

A VM that started while the store was slow or lost answers read all pages within one limit of 2 s and began anew when it passed; until then it refused everything, and on a store that needs longer it never served.

Ruled out: parallel reads by prefix of the keys, which lean on how the platform names its items.

Change: source.Store gives pages; the edge takes each as it comes, tries a page four times with limits that double from 0.3 s, and is ready after 0.8 s with what it has. What is no longer there is known only with the last page, as before.

TestStartWithSlowStore and TestStartWithLossyStore failed before (VM not ready in 15 s).

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -43,6 +43,8 @@
 	connectionsLeast = 64
 	// settleTime is how long a new VM listens to others before it serves.
 	settleTime = 300 * time.Millisecond
+	// settlePart is how long after its start a VM serves at the latest with what it has read of the store so far.
+	settlePart = 800 * time.Millisecond
 	// readyCheck is how often a starting VM looks whether it can serve.
 	readyCheck = 20 * time.Millisecond
 	// settingsCheck is how often the settings file is looked at for changes that no signal tells of.
@@ -196,7 +198,8 @@
 // becomeReady waits until a configuration is in force and the other VMs have been heard.
 func (e *Edge) becomeReady(ctx context.Context) {
 	for ctx.Err() == nil {
-		if e.dispatch.current() != nil && time.Since(e.started) >= settleTime {
+		age := time.Since(e.started)
+		if e.dispatch.current() != nil && (age >= settleTime && e.revision() > 0 || age >= settlePart) {
 			e.ready.Store(true)
 			e.tell(false)
 			e.log.Info(partProcess, "ready", "afterMs", ms(time.Since(e.started)), "revision", e.revision())
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -25,8 +25,12 @@
 	watchSlack = 600 * time.Millisecond
 	// watchPause gathers changes that come in quick succession into one call.
 	watchPause = 120 * time.Millisecond
-	// readLimit bounds the time to read everything.
-	readLimit = 2 * time.Second
+	// pageLimit bounds the first call for a page, each further one may take twice as long: a store that was silent is asked
+	// again soon, and one that is slow gets the time that it needs. After pageTries calls reading begins anew.
+	pageLimit = 300 * time.Millisecond
+	pageTries = 4
+	// pagePause is the time between two tries.
+	pagePause = 50 * time.Millisecond
 	// retryPause is the time between calls that fail.
 	retryPause = 250 * time.Millisecond
 	// idleCheck is how often a VM that does not read looks whether it should.
@@ -82,18 +86,46 @@
 	return nil
 }
 
+// readAll reads all pages. Each is taken as it comes, since a store may be slow; that nothing else is there is known
+// when the last one has come.
 func (e *Edge) readAll(ctx context.Context) error {
-	rctx, cancel := context.WithTimeout(ctx, readLimit)
-	defer cancel()
-	items, asOf, err := e.store.Read(rctx)
-	e.metrics.read(err)
-	if err != nil {
-		return errors.Errorf("read all: %w", err)
+	var items []mirror.Item
+	asOf, after := int64(0), ""
+	for more := true; more; {
+		page, err := e.readPage(ctx, after)
+		if err != nil {
+			return errors.Errorf("read all: %w", err)
+		}
+		if asOf == 0 {
+			asOf = page.AsOf
+		}
+		e.take(page.Items, 0, 0, false, "store")
+		items = append(items, page.Items...)
+		if more = page.More; more {
+			after = page.Items[len(page.Items)-1].Key
+		}
 	}
 	e.take(items, 0, asOf, true, "store")
 	return nil
 }
 
+// readPage reads one page, and tries again when no answer comes.
+func (e *Edge) readPage(ctx context.Context, after string) (page source.Page, err error) {
+	for try := range pageTries {
+		if try > 0 && !clock.Sleep(ctx, pagePause) {
+			break
+		}
+		pctx, cancel := context.WithTimeout(ctx, pageLimit<<try)
+		page, err = e.store.Page(pctx, after)
+		cancel()
+		e.metrics.read(err)
+		if err == nil {
+			return page, nil
+		}
+	}
+	return source.Page{}, err
+}
+
 // myTurn reports whether this VM should watch the store: it is among the first by rank of the core, or nobody who lives is watching.
 func (e *Edge) myTurn(now time.Time) bool {
 	self := e.settings.Load().Name()
--- a/internal/tier/source/source.go
+++ b/internal/tier/source/source.go
@@ -17,12 +17,22 @@
 
 // Store can be read and watched.
 type Store interface {
-	// Read returns all items and the revision from which a watch must go on.
-	Read(ctx context.Context) ([]mirror.Item, int64, error)
+	// Page returns the items whose keys follow a key, in order; the pages together are not one snapshot, so a watch from
+	// the revision of the first must follow.
+	Page(ctx context.Context, after string) (Page, error)
 	// Watch waits for changes after a revision; it returns none when wait passes without any.
 	Watch(ctx context.Context, after int64, wait time.Duration) ([]mirror.Item, int64, error)
 }
 
+// Page is a part of what a store holds.
+type Page struct {
+	Items []mirror.Item
+	// AsOf is the store's revision.
+	AsOf int64
+	// More says that other items follow.
+	More bool
+}
+
 // Event is what one item says.
 type Event interface{ event() }
 
