--- a/internal/tier/peers/codec.go
+++ b/internal/tier/peers/codec.go
@@ -14,8 +14,8 @@
 const messageMost = 256 << 10
 
 // dictionary holds text that most messages have, so that short ones shrink too; all VMs must have the same.
-const dictionary = `,"y":[{"d":{"vm":"front-","ip":"10.","d":"","r":"","b":1,"n":1,"p":1,"c":0.4,"l":0.0,"u":true,"v":1,"w":true},"m":` +
-	`"k":["10.","a":true},"t":{"":{"o":1,"a":1,"l":{"f":{"vm":"front-","ip":"10.`
+const dictionary = `,"y":[{"d":{"vm":"","ip":"10.","d":"","r":"","b":1,"n":1,"p":1,"c":0.4,"l":0.0,"u":true,"v":1,"w":true},"m":` +
+	`"k":["10.","a":true},"t":{"":{"o":1,"a":1,"l":{"f":{"vm":"","ip":"10.`
 
 // Codec turns messages into datagrams and back; use NewCodec. It may be used from several goroutines.
 type Codec struct {
