edge: serve connections that were accepted as the listener closed

Shutdown of the HTTP server returned while a connection that had just been accepted was not counted yet, and the process ended, closing it.

Ruled out: kills (none near), idle connections (the client's library repeats those itself; these were new ones).

Change: 0.1 s after Shutdown it is called again, which waits for what was accepted meanwhile.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -33,6 +33,8 @@
 	lingerAnswers = 1.15
 	// endMargin is kept of the grace for the last requests and the last word to the fleet.
 	endMargin = 700 * time.Millisecond
+	// acceptMargin is how long after the listener has closed the last connection may be counted.
+	acceptMargin = 100 * time.Millisecond
 	// headerLimit bounds the time to read a request's headers until limits are known.
 	headerLimit = 10 * time.Second
 	// idleLimit is how long an idle connection of a caller stays open; published limits are below it.
@@ -289,6 +291,9 @@
 	defer cancel()
 	callers := e.servers[len(e.servers)-1]
 	err := callers.Shutdown(ctx)
+	// A connection that was accepted as the listener closed may not be counted yet, and its request would be cut.
+	clock.Sleep(ctx, acceptMargin)
+	err = errors.Join(err, callers.Shutdown(ctx))
 	e.ended.Store(true)
 	e.tell(false)
 	fields := []any{"afterMs", ms(time.Since(began)), "requests", e.busy.Load()}
