drain, edge, netio: answer the requests of connections that were accepted before a shutdown

Change: package drain closes the listener, waits until all that was accepted is known, ends keep-alive, and returns when no connection has a request or may still send its first one. The edge and the VMs of our own interface use it.

--- /dev/null
+++ b/internal/base/drain/drain_test.go
@@ -0,0 +1,157 @@
+package drain_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/drain"
+)
+
+// patience bounds how long a test waits for something that should happen at once.
+const patience = 10 * time.Second
+
+// rig is a server whose requests end when the test says so.
+type rig struct {
+	t       *testing.T
+	server  *drain.Server
+	address string
+	// begun gets a value for each request that is handled, which ends when it can take one from finish.
+	begun, finish chan struct{}
+	drained       chan error
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, address: l.Addr().String(), begun: make(chan struct{}, 9), finish: make(chan struct{}, 9), drained: make(chan error, 1)}
+	handler := func(w http.ResponseWriter, _ *http.Request) {
+		r.begun <- struct{}{}
+		<-r.finish
+		_, _ = io.WriteString(w, "whole")
+	}
+	s, cut := drain.Serve(l, &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: patience})
+	t.Cleanup(cut)
+	r.server = s
+	return r
+}
+
+func (r *rig) dial() net.Conn {
+	r.t.Helper()
+	c, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", r.address)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { _ = c.Close() })
+	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+		r.t.Fatal(err)
+	}
+	return c
+}
+
+func (r *rig) send(c net.Conn) {
+	r.t.Helper()
+	if _, err := fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// accepted waits until the server has taken all connections opened so far: it answers a request on one more.
+func (r *rig) accepted() {
+	r.t.Helper()
+	r.finish <- struct{}{}
+	c := r.dial()
+	r.send(c)
+	<-r.begun
+	r.assertAnswered(c)
+}
+
+func (r *rig) drain(ctx context.Context) {
+	go func() { r.drained <- r.server.Drain(ctx) }()
+	<-r.server.Stopped()
+}
+
+func (r *rig) assertAnswered(c net.Conn) {
+	r.t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		r.t.Errorf("read answer: %v", err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "whole" {
+		r.t.Errorf("the answer is %q (%v)", body, err)
+	}
+}
+
+func (r *rig) assertDrained(want bool) {
+	r.t.Helper()
+	select {
+	case err := <-r.drained:
+		if (err == nil) != want {
+			r.t.Errorf("drained with %v, want success: %t", err, want)
+		}
+	case <-time.After(patience):
+		r.t.Error("the server does not end")
+	}
+}
+
+func TestDrain(t *testing.T) {
+	t.Run("answers the first request of a connection that was accepted before", func(t *testing.T) {
+		r := newRig(t)
+		c := r.dial()
+		r.accepted()
+		r.drain(context.Background())
+		r.send(c)
+		r.finish <- struct{}{}
+		r.assertAnswered(c)
+		r.assertDrained(true)
+	})
+	t.Run("waits for a request in progress", func(t *testing.T) {
+		r := newRig(t)
+		c := r.dial()
+		r.send(c)
+		<-r.begun
+		r.drain(context.Background())
+		if len(r.drained) > 0 {
+			t.Error("ended with a request in progress")
+		}
+		r.finish <- struct{}{}
+		r.assertAnswered(c)
+		r.assertDrained(true)
+	})
+	t.Run("does not wait for idle connections, nor long for ones without a request", func(t *testing.T) {
+		r := newRig(t)
+		r.dial()
+		r.accepted()
+		r.drain(context.Background())
+		r.assertDrained(true)
+	})
+	t.Run("refuses connections", func(t *testing.T) {
+		r := newRig(t)
+		r.drain(context.Background())
+		r.assertDrained(true)
+		if c, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", r.address); err == nil {
+			_ = c.Close()
+			t.Error("a connection was accepted")
+		}
+	})
+	t.Run("says when its time ends before the requests do", func(t *testing.T) {
+		r := newRig(t)
+		r.send(r.dial())
+		<-r.begun
+		ctx, cancel := context.WithCancel(context.Background())
+		r.drain(ctx)
+		cancel()
+		r.assertDrained(false)
+		r.finish <- struct{}{}
+	})
+}
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/netutil"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/drain"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/setup"
 	"kumquatreel.example/kumquatreel/internal/limit/quota"
@@ -33,8 +34,6 @@
 	lingerAnswers = 1.15
 	// endMargin is kept of the grace for the last requests and the last word to the fleet.
 	endMargin = 700 * time.Millisecond
-	// acceptMargin is how long after the listener has closed the last connection may be counted.
-	acceptMargin = 100 * time.Millisecond
 	// headerLimit bounds the time to read a request's headers until limits are known.
 	headerLimit = 10 * time.Second
 	// idleLimit is how long an idle connection of a caller stays open; published limits are below it.
@@ -88,7 +87,8 @@
 	fitness fitness
 	traffic *traffic
 
-	servers  []*http.Server
+	// callers takes the requests of callers.
+	callers  *drain.Server
 	cleanups []func()
 }
 
@@ -155,13 +155,15 @@
 		{s.Directory(), directory},
 		{s.Peers(), control},
 		{s.Metrics(), metrics},
-		// Paths of callers are passed on as they are, so no mux may clean them.
-		{s.Callers(), http.HandlerFunc(e.serveCaller)},
 	} {
-		if err := e.serve(ctx, l.address, l.handler); err != nil {
+		if _, err := e.serve(ctx, l.address, l.handler); err != nil {
 			return err
 		}
 	}
+	// Paths of callers are passed on as they are, so no mux may clean them.
+	if e.callers, err = e.serve(ctx, s.Callers(), http.HandlerFunc(e.serveCaller)); err != nil {
+		return err
+	}
 	go e.hear()
 	go e.join(ctx)
 	go e.gossip(ctx)
@@ -172,21 +174,21 @@
 	return nil
 }
 
-func (e *Edge) serve(ctx context.Context, address string, h http.Handler) error {
+func (e *Edge) serve(ctx context.Context, address string, h http.Handler) (*drain.Server, error) {
 	l, err := listen(ctx, address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	l = netutil.LimitListener(l, max(connectionsLeast, int(callersShare*float64(e.settings.Load().MaxOpenFiles()))))
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, ErrorLog: nil}
-	e.servers = append(e.servers, srv)
-	e.cleanups = append(e.cleanups, func() { _ = srv.Close() })
+	srv, cut := drain.Serve(l, &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit})
+	e.cleanups = append(e.cleanups, cut)
 	go func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			e.log.Error(partProcess, "listener failed", "address", address, "error", err.Error())
+		<-srv.Stopped()
+		if !e.leaving.Load() && !errors.Is(srv.Err(), http.ErrServerClosed) {
+			e.log.Error(partProcess, "listener failed", "address", address, "error", srv.Err().Error())
 		}
 	}()
-	return nil
+	return srv, nil
 }
 
 // join asks the seeds for answers until some VM is known.
@@ -289,11 +291,7 @@
 	time.Sleep(max(0, min(linger, grace-3*endMargin)))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-endMargin))
 	defer cancel()
-	callers := e.servers[len(e.servers)-1]
-	err := callers.Shutdown(ctx)
-	// A connection that was accepted as the listener closed may not be counted yet, and its request would be cut.
-	clock.Sleep(ctx, acceptMargin)
-	err = errors.Join(err, callers.Shutdown(ctx))
+	err := e.callers.Drain(ctx)
 	e.ended.Store(true)
 	e.tell(false)
 	fields := []any{"afterMs", ms(time.Since(began)), "requests", e.busy.Load()}
--- a/internal/wire/netio/netio.go
+++ b/internal/wire/netio/netio.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/drain"
 )
 
 const (
@@ -119,11 +121,10 @@
 	if err != nil {
 		return "", nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
-	go func() { _ = s.Serve(l) }()
+	s, cut := drain.Serve(l, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader})
 	stop := func(ctx context.Context) error {
-		if err := s.Shutdown(ctx); err != nil {
-			_ = s.Close()
+		defer cut()
+		if err := s.Drain(ctx); err != nil {
 			return errors.Errorf("stop serving on %s: %w", address, err)
 		}
 		return nil
