quota, peers, edge: count what fresh VMs tell each other, and give them their start level

Cause: TestRequests, listed as red: '0 of 60 were admitted at five a second'. A team's bucket was made with its start level and then moved up to now with a limit of 0, whose burst cut the level to 0. A VM that took its configuration just before it was ready had no token. And in the first second a VM only took the lower of its own level and the others', so that VMs that had started together did not count what each of them let through.

Ruled out: heartbeats of other runs of the tests (their addresses would clash and fail), load (75 runs with the race detector beside eight busy processes passed).

Change: the bucket has its limit from the start. A report says whether its VM is fresh: a fresh VM's counts are charged, the level of one that is not is taken over. Levels are told rounded, not cut. A process that a new one of the same VM replaces is forgotten, and a relayed digest of the process before does not take its place, whatever its clock said.

Measured: TestStart 0 admitted before, TestAllRestart 204 in a window of 200; both pass after, with TestRestartsInRate.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -43,6 +43,8 @@
 	Offered  int64   `json:"o"`
 	Admitted int64   `json:"a"`
 	Level    float64 `json:"l"`
+	// Fresh says that the VM has just started, so that its level tells of its own requests only.
+	Fresh bool `json:"f,omitempty"`
 }
 
 // Quota is one VM's view of all teams; it is driven under its owner's lock.
@@ -58,6 +60,8 @@
 	offered  int64
 	admitted int64
 	usedAt   time.Time
+	// learnt says that the level was taken over from a process that knew it.
+	learnt bool
 	// demand is the rate of requests offered here.
 	demand float64
 	others map[ident.Process]*other
@@ -84,10 +88,10 @@
 		t := q.teams[name]
 		if t == nil {
 			level := limit.Burst
-			if now.Sub(q.started) < settle {
+			if q.starting(now) {
 				level *= startLevel
 			}
-			t = &team{level: level, at: now, others: make(map[ident.Process]*other)}
+			t = &team{limit: limit, level: level, at: now, others: make(map[ident.Process]*other)}
 			q.teams[name] = t
 		}
 		t.accrue(now)
@@ -173,7 +177,7 @@
 	for name, t := range q.teams {
 		if t.limit.Rate > 0 && now.Sub(t.usedAt) < within {
 			t.accrue(now)
-			out[name] = Report{Offered: t.offered, Admitted: t.admitted, Level: float64(int(t.level))}
+			out[name] = Report{Offered: t.offered, Admitted: t.admitted, Level: math.Round(t.level), Fresh: q.starting(now)}
 		}
 	}
 	return out
@@ -187,27 +191,33 @@
 			continue
 		}
 		t.accrue(now)
-		t.heard(now, from, r, now.Sub(q.started) < settle)
+		t.heard(now, from, r, q.starting(now) && !r.Fresh)
 	}
 }
 
-// Left drops a process that has said that it stops.
+// Left drops a process that has stopped.
 func (q *Quota) Left(from ident.Process) {
 	for _, t := range q.teams {
 		delete(t.others, from)
 	}
 }
 
-func (t *team) heard(now time.Time, from ident.Process, r Report, starting bool) {
+// starting reports whether the VM knows too little of the others to tell a team's level.
+func (q *Quota) starting(now time.Time) bool { return now.Sub(q.started) < settle }
+
+// heard takes the report of another process; with learning set that process knows a team's level better.
+func (t *team) heard(now time.Time, from ident.Process, r Report, learning bool) {
 	o := t.others[from]
-	if starting {
-		t.level = min(t.level, max(r.Level, -t.limit.Burst))
-	}
 	if o == nil {
-		if !starting {
+		t.others[from] = &other{offered: r.Offered, admitted: r.Admitted, heard: now}
+		switch level := max(r.Level, -t.limit.Burst); {
+		case !learning:
 			t.level -= float64(min(r.Admitted, int64(t.limit.Rate)))
+		case t.learnt:
+			t.level = min(t.level, level)
+		default:
+			t.level, t.learnt = level, true
 		}
-		t.others[from] = &other{offered: r.Offered, admitted: r.Admitted, heard: now}
 		return
 	}
 	more := float64(r.Admitted - o.admitted)
@@ -215,11 +225,9 @@
 	if more < 0 || span <= 0 {
 		return
 	}
-	if !starting {
-		// What was let through long ago no longer counts, and the bucket could not have held what it was taken from.
-		t.level += (o.charged - more) * min(1, countLast.Seconds()/span)
-		t.bound()
-	}
+	// What was let through long ago no longer counts, and the bucket could not have held what it was taken from.
+	t.level += (o.charged - more) * min(1, countLast.Seconds()/span)
+	t.bound()
 	offered := float64(max(0, r.Offered-o.offered))
 	o.demand += (1 - math.Exp(-span/demandSpan.Seconds())) * (offered/max(span, 0.05) - o.demand)
 	o.offered, o.admitted, o.heard, o.charged = r.Offered, r.Admitted, now, 0
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -19,8 +20,11 @@
 	names []ident.Process
 	limit quota.Limit
 	// cut holds the VMs that the others neither hear nor are heard by; with alone set they do not hear each other either.
-	cut      map[int]bool
-	alone    bool
+	cut   map[int]bool
+	alone bool
+	// paced spaces requests evenly, so that a team within its rate on average is so at all times.
+	paced    bool
+	due      float64
 	admitted []int
 	refused  []int
 }
@@ -50,7 +54,7 @@
 		if at%(200*time.Millisecond) == 0 {
 			f.tell(now)
 		}
-		for sent := rng.Float64(); sent < rate/100; sent++ {
+		for range f.arrivals(rng, rate/100) {
 			if ok, _ := f.vms[pick()].Admit(now, team); ok {
 				f.admitted[step]++
 			} else {
@@ -60,6 +64,17 @@
 	}
 }
 
+// arrivals returns how many requests arrive in a step in which mean ones do on average.
+func (f *fleet) arrivals(rng *rand.Rand, mean float64) int {
+	if !f.paced {
+		return int(math.Ceil(max(0, mean-rng.Float64())))
+	}
+	f.due += mean
+	n := math.Floor(f.due)
+	f.due -= n
+	return int(n)
+}
+
 func (f *fleet) tell(now time.Time) {
 	for i, from := range f.vms {
 		reports := from.Reports(now, 2*time.Second)
@@ -184,14 +199,91 @@
 	f.play(rng, 0, 6*time.Second, 115, f.anyVM(rng))
 	for i := range 9 {
 		at := 6*time.Second + time.Duration(i)*time.Second
-		f.vms[i] = quota.New(start.Add(at))
-		f.names[i] += "'"
-		f.vms[i].SetLimits(start.Add(at), map[ident.Team]quota.Limit{team: limit})
+		f.startAnew(i, at)
 		f.play(rng, at, at+time.Second, 115, f.anyVM(rng))
 	}
 	f.assertBound(t)
 }
 
+// A VM that has just started lets a part of a team's burst through, since the others may have let through the rest.
+func TestStart(t *testing.T) {
+	q := quota.New(start)
+	q.SetLimits(start.Add(10*time.Millisecond), map[ident.Team]quota.Limit{team: limit})
+	admitted := 0
+	for range 100 {
+		if ok, _ := q.Admit(start.Add(20*time.Millisecond), team); ok {
+			admitted++
+		}
+	}
+	if admitted < 1 || float64(admitted) > limit.Burst/2 {
+		t.Errorf("%d admitted at once, want some and at most half of the burst", admitted)
+	}
+}
+
+// All VMs restart together, twice, while a team presses; a process is started again after a moment, and listens before
+// it serves.
+func TestAllRestart(t *testing.T) {
+	const restartTime, listenTime = 200 * time.Millisecond, 300 * time.Millisecond
+	for seed := range uint64(20) {
+		for _, rate := range []float64{1.5, 5, 10} {
+			for _, limit := range []quota.Limit{{Rate: 5, Burst: 5}, {Rate: 24, Burst: 24}, {Rate: 80, Burst: 60}} {
+				rng := rand.New(rand.NewPCG(seed, 12))
+				f := newFleet(limit)
+				f.play(rng, 0, 6*time.Second, rate*limit.Rate, f.anyVM(rng))
+				for _, at := range []time.Duration{6 * time.Second, 8 * time.Second} {
+					f.restart(at + restartTime)
+					f.play(rng, at, at+restartTime+listenTime, 0, f.anyVM(rng))
+					f.play(rng, at+restartTime+listenTime, at+2*time.Second, rate*limit.Rate, f.anyVM(rng))
+				}
+				f.play(rng, 10*time.Second, 16*time.Second, rate*limit.Rate, f.anyVM(rng))
+				f.assertBound(t)
+			}
+		}
+	}
+}
+
+// restart starts all VMs anew.
+func (f *fleet) restart(at time.Duration) {
+	for i := range f.vms {
+		f.startAnew(i, at)
+	}
+}
+
+// startAnew replaces the process of a VM; the others hear of it at once.
+func (f *fleet) startAnew(i int, at time.Duration) {
+	for _, q := range f.vms {
+		q.Left(f.names[i])
+	}
+	f.vms[i] = quota.New(start.Add(at))
+	f.names[i] += "'"
+	f.vms[i].SetLimits(start.Add(at), map[ident.Team]quota.Limit{team: f.limit})
+}
+
+// All VMs restart together, and then one after the other, while a team stays within its rate.
+func TestRestartsInRate(t *testing.T) {
+	const share = 0.6
+	for seed := range uint64(20) {
+		for _, limit := range []quota.Limit{{Rate: 5, Burst: 5}, {Rate: 24, Burst: 24}} {
+			rng := rand.New(rand.NewPCG(seed, 13))
+			f := newFleet(limit)
+			f.paced = true
+			f.restart(0)
+			f.play(rng, 0, 300*time.Millisecond, 0, f.anyVM(rng))
+			f.play(rng, 300*time.Millisecond, 6*time.Second, share*limit.Rate, f.anyVM(rng))
+			for i := range f.vms {
+				at := 6*time.Second + time.Duration(i)*time.Second
+				f.startAnew(i, at)
+				others := func() int { return (i + 1 + rng.IntN(members-1)) % members }
+				f.play(rng, at, at+300*time.Millisecond, share*limit.Rate, others)
+				f.play(rng, at+300*time.Millisecond, at+time.Second, share*limit.Rate, f.anyVM(rng))
+			}
+			if n := total(f.refused); n > 0 {
+				t.Errorf("seed %d, rate %v: %d of %d refused, want none", seed, limit.Rate, n, n+total(f.admitted))
+			}
+		}
+	}
+}
+
 func TestSetLimits(t *testing.T) {
 	t.Run("lowers a rate at once", func(t *testing.T) {
 		rng := rand.New(rand.NewPCG(5, 1))
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -131,6 +131,9 @@
 		switch ev := ev.(type) {
 		case peers.Joined:
 			e.noteMember(c, e.log.Info, "VM joined", ev.Member)
+			if ev.Replaced != "" {
+				e.forgetProcess(ev.Replaced)
+			}
 		case peers.Back:
 			e.noteMember(c, e.log.Info, "VM is heard from again", ev.Member)
 		case peers.Silent:
@@ -138,14 +141,19 @@
 		case peers.Changed:
 			e.noteMember(c, e.log.Info, "VM is in another phase", ev.Member, "before", ev.Before.String())
 			if ev.Member.Digest().Phase == peers.PhaseGone {
-				e.quotaMu.Lock()
-				e.quota.Left(ev.Member.Digest().Process())
-				e.quotaMu.Unlock()
+				e.forgetProcess(ev.Member.Digest().Process())
 			}
 		}
 	}
 }
 
+// forgetProcess stops charging teams for what a process that has ended would let through.
+func (e *Edge) forgetProcess(p ident.Process) {
+	e.quotaMu.Lock()
+	defer e.quotaMu.Unlock()
+	e.quota.Left(p)
+}
+
 func (e *Edge) noteMember(c peers.Circle, write func(prefix, text string, fields ...any), text string, m peers.Member, more ...any) {
 	d := m.Digest()
 	if ends := d.Phase == peers.PhaseLeaving || d.Phase == peers.PhaseGone; !ends && !c.Has(d.VM) {
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -100,7 +100,11 @@
 type Event interface{ event() }
 
 // Joined says that a process was heard from for the first time.
-type Joined struct{ Member Member }
+type Joined struct {
+	Member Member
+	// Replaced is the process of the same VM that was known before and has ended, empty when there was none.
+	Replaced ident.Process
+}
 
 // Changed says that a process is in another phase.
 type Changed struct {
@@ -162,8 +166,10 @@
 	next := &entry{Member: Member{digest: d, heard: now}}
 	p.members[d.VM] = next
 	switch {
-	case old == nil || old.digest.Boot != d.Boot:
-		return []Event{Joined{next.Member}}, true
+	case old == nil:
+		return []Event{Joined{Member: next.Member}}, true
+	case old.digest.Boot != d.Boot:
+		return []Event{Joined{Member: next.Member, Replaced: old.digest.Process()}}, true
 	case old.silent:
 		return []Event{Back{next.Member}}, true
 	case old.digest.Phase != d.Phase:
@@ -172,13 +178,14 @@
 	return nil, true
 }
 
-// supersedes reports whether a digest is older than what is known. A process whose clock was set back starts with
-// an earlier time than the one before it, so order by start counts only while both may have datagrams on the way.
+// supersedes reports whether a digest that was heard at an instant is older than what is known. A process whose clock was
+// set back starts with an earlier time than the one before it, so order by start counts only while both may have datagrams
+// on the way; what another VM has heard of an earlier process, it heard earlier.
 func (e *entry) supersedes(now time.Time, d Digest) bool {
 	if d.Boot == e.digest.Boot {
 		return d.Serial <= e.digest.Serial
 	}
-	return d.Boot < e.digest.Boot && now.Sub(e.heard) < straggle
+	return now.Before(e.heard) || d.Boot < e.digest.Boot && now.Sub(e.heard) < straggle
 }
 
 // Tick forgets what is old and returns the members that have fallen silent.
--- a/internal/tier/peers/peers_test.go
+++ b/internal/tier/peers/peers_test.go
@@ -54,6 +54,25 @@
 		assertFresh(t, p, start, word("a", 2, 700), true)
 		assertFresh(t, p, start.Add(2*time.Second), word("a", 1, 1), true)
 	})
+	t.Run("passes over what another VM has heard of the process before, though it started later by its clock", func(t *testing.T) {
+		p := peers.New("self")
+		p.Heard(start.Add(2*time.Second), word("a", 1, 1))
+		relayed := word("b", 1, 1)
+		relayed.Relayed = []peers.Relay{{Digest: word("a", 2, 700).From, AgoMs: 3000}}
+		p.Heard(start.Add(4*time.Second), relayed)
+		if got := p.Members()[0].Digest().Boot; got != 1 {
+			t.Errorf("the process of VM a is the one started at %d, want 1", got)
+		}
+	})
+	t.Run("names the process that a new one replaces", func(t *testing.T) {
+		p := peers.New("self")
+		for i, want := range []ident.Process{"", word("a", 1, 1).From.Process()} {
+			events, _ := p.Heard(start.Add(time.Duration(i)*time.Second), word("a", int64(1+i), 1))
+			if joined, ok := events[0].(peers.Joined); !ok || joined.Replaced != want {
+				t.Errorf("event %+v, want a new process in place of %q", events[0], want)
+			}
+		}
+	})
 }
 
 func TestAlive(t *testing.T) {
