gather, edge: let a part wait for room instead of leaving it out

Ruled out: refusing before the first send; that is done when more shards lack room than may be missing, and stays so.

Change: Choose says whether servers lack room for now or there is none. A few shards without room are tried again after 8 ms, 16 ms and so on while they can still be in when the answer is due.

TestRoomLater: the first, second and fourth case fail without the change.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -126,17 +126,21 @@
 }
 
 // Choose implements gather.Chooser.
-func (c *chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, bool) {
+func (c *chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, gather.Room) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := c.passed
 	usable, spare := c.roster.Candidates(now, service)
 	for _, members := range [][]*roster.Member{usable, spare} {
 		options := c.options(now, members, exclude)
 		if o, ok := c.places.Pick(now, options, c.usual, c.rng); ok {
-			return o.Server, true
+			return o.Server, gather.RoomNow
 		}
 	}
-	return "", false
+	if c.passed != before {
+		return "", gather.RoomLater
+	}
+	return "", gather.RoomNone
 }
 
 // Repeat implements gather.Chooser.
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -45,7 +45,7 @@
 	n := 0
 	for range requests {
 		c := &chooser{dispatch: d, usual: usual, patience: time.Hour}
-		if server, ok := c.Choose(now, "books", nil); ok {
+		if server, room := c.Choose(now, "books", nil); room == gather.RoomNow {
 			d.begin(now, gather.Send{Service: "books", Server: server}, usual)
 			n++
 		}
--- a/internal/tier/gather/gather.go
+++ b/internal/tier/gather/gather.go
@@ -7,7 +7,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 )
 
-//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Verdict,Reason,Cause -trimprefix=Verdict,Reason,Cause -transform=title-lower -output=enums.go
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Verdict,Reason,Cause,Room -trimprefix=Verdict,Reason,Cause,Room -transform=title-lower -output=enums.go
 
 const (
 	// backoffFirst is the pause before a part goes to servers that have refused it; it doubles each time.
@@ -91,10 +91,23 @@
 	Usual, Late time.Duration
 }
 
+// Room is whether a part can be sent somewhere.
+type Room int
+
+// The values of Room.
+const (
+	// RoomNone means that no server can be expected to take the part in time.
+	RoomNone Room = iota
+	// RoomLater means that there are servers, but each is full, cold or has too long a queue at this moment.
+	RoomLater
+	// RoomNow means that a server was found.
+	RoomNow
+)
+
 // Chooser finds servers and keeps account of repeats.
 type Chooser interface {
-	// Choose returns a server for a part other than those excluded.
-	Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, bool)
+	// Choose returns a server for a part other than those excluded, with RoomNow, or why there is none.
+	Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, Room)
 	// Repeat takes one repeat from the budget of a service and reports whether there was one.
 	Repeat(now time.Time, service ident.Service) bool
 }
@@ -146,22 +159,31 @@
 // New returns the state of a request that has not been started.
 func New(spec Spec) *State { return &State{spec: spec, shards: make([]shard, len(spec.Shards))} }
 
-// Start returns the first sends.
+// Start returns the first sends. Nothing is sent when servers have no room for more parts than may be missing; when they
+// have none for a few, these are sent once there is room.
 func (s *State) Start(now time.Time, c Chooser) []Send {
 	var out []Send
+	var later []int
 	for i := range s.shards {
-		if send, ok := s.send(now, i, c); ok {
+		send, room := s.send(now, i, c)
+		switch room {
+		case RoomNow:
 			out = append(out, send)
-		} else {
+		case RoomLater:
+			later = append(later, i)
+		case RoomNone:
 			s.close(i)
 		}
 	}
-	if !s.reachable() {
+	if !s.reachable(len(later)) {
 		// Nothing has been sent yet, and nothing will be.
 		clear(s.shards)
 		s.finish(ReasonUnreachable)
 		return nil
 	}
+	for _, i := range later {
+		s.wait(now, i, s.spec.Soft)
+	}
 	s.settle(now)
 	return out
 }
@@ -211,7 +233,7 @@
 		case sh.open() == 0 && !sh.retryAt.IsZero() && !now.Before(sh.retryAt):
 			out = append(out, s.again(now, i, c, true)...)
 		case sh.open() == 1 && s.hedgeDue(now, sh):
-			if send, ok := s.hedge(now, i, c); ok {
+			if send, room := s.hedge(now, i, c); room == RoomNow {
 				out = append(out, send)
 			}
 		}
@@ -297,7 +319,7 @@
 		s.finish(ReasonComplete)
 	case s.in+s.closed == len(s.shards) && s.Enough():
 		s.finish(ReasonInTime)
-	case !s.reachable():
+	case !s.reachable(0):
 		s.finish(ReasonUnreachable)
 	case !now.Before(s.spec.Hard):
 		s.finish(ReasonDeadline)
@@ -308,9 +330,9 @@
 
 func (s *State) finish(r Reason) { s.done, s.reason = true, r }
 
-// reachable reports whether enough parts are in or can still come.
-func (s *State) reachable() bool {
-	can := len(s.shards) - s.closed
+// reachable reports whether enough parts are in or can still come, if some more than those closed do not.
+func (s *State) reachable(without int) bool {
+	can := len(s.shards) - s.closed - without
 	return can > 0 && float64(can) >= s.spec.MinCoverage*float64(len(s.shards))-1e-9
 }
 
@@ -333,41 +355,54 @@
 	if paused {
 		exclude, cause = sh.ran(), CauseWaited
 	}
-	if send, ok := s.repeat(now, i, c, exclude, cause); ok {
+	send, room := s.repeat(now, i, c, exclude, cause)
+	switch {
+	case room == RoomNow:
 		return []Send{send}
+	case !paused && sh.refused():
+		s.wait(now, i, s.spec.Hard)
+	case room == RoomLater:
+		s.wait(now, i, s.spec.Soft)
+	default:
+		s.close(i)
 	}
-	wait := backoffFirst
+	return nil
+}
+
+// wait has a part tried again after a pause, or gives it up when it could not be in by the limit.
+func (s *State) wait(now time.Time, i int, limit time.Time) {
+	sh := &s.shards[i]
+	pause := backoffFirst
 	if sh.backoff > 0 {
-		wait = min(2*sh.backoff, backoffMost)
+		pause = min(2*sh.backoff, backoffMost)
 	}
-	if paused || !sh.refused() || now.Add(wait+s.spec.Usual).After(s.spec.Hard) {
+	if now.Add(pause + s.spec.Usual).After(limit) {
 		s.close(i)
-		return nil
+		return
 	}
-	sh.backoff, sh.retryAt = wait, now.Add(wait)
-	return nil
+	sh.backoff, sh.retryAt = pause, now.Add(pause)
 }
 
-func (s *State) repeat(now time.Time, i int, c Chooser, exclude []ident.Server, cause Cause) (Send, bool) {
-	server, ok := c.Choose(now, s.spec.Shards[i], exclude)
-	if !ok {
-		return Send{}, false
+func (s *State) repeat(now time.Time, i int, c Chooser, exclude []ident.Server, cause Cause) (Send, Room) {
+	server, room := c.Choose(now, s.spec.Shards[i], exclude)
+	if room != RoomNow {
+		return Send{}, room
 	}
 	if s.shards[i].arrived() && !c.Repeat(now, s.spec.Shards[i]) {
-		return Send{}, false
+		return Send{}, RoomNone
 	}
-	return s.record(now, i, server, cause), true
+	return s.record(now, i, server, cause), RoomNow
 }
 
-func (s *State) send(now time.Time, i int, c Chooser) (Send, bool) {
-	server, ok := c.Choose(now, s.spec.Shards[i], nil)
-	if !ok {
-		return Send{}, false
+func (s *State) send(now time.Time, i int, c Chooser) (Send, Room) {
+	server, room := c.Choose(now, s.spec.Shards[i], nil)
+	if room != RoomNow {
+		return Send{}, room
 	}
-	return s.record(now, i, server, CauseFirst), true
+	return s.record(now, i, server, CauseFirst), RoomNow
 }
 
-func (s *State) hedge(now time.Time, i int, c Chooser) (Send, bool) {
+func (s *State) hedge(now time.Time, i int, c Chooser) (Send, Room) {
 	return s.repeat(now, i, c, s.shards[i].tried(), CauseLate)
 }
 
--- a/internal/tier/gather/gather_test.go
+++ b/internal/tier/gather/gather_test.go
@@ -14,19 +14,23 @@
 // stock is a chooser with two servers for each service and a number of repeats.
 type stock struct {
 	repeats int
-	gone    []ident.Service
+	// gone services have no servers, full ones have none with room.
+	gone, full []ident.Service
 }
 
-func (s *stock) Choose(_ time.Time, service ident.Service, exclude []ident.Server) (ident.Server, bool) {
+func (s *stock) Choose(_ time.Time, service ident.Service, exclude []ident.Server) (ident.Server, gather.Room) {
 	if slices.Contains(s.gone, service) {
-		return "", false
+		return "", gather.RoomNone
+	}
+	if slices.Contains(s.full, service) {
+		return "", gather.RoomLater
 	}
 	for _, n := range []ident.Server{ident.Server(service) + "-1", ident.Server(service) + "-2"} {
 		if !slices.Contains(exclude, n) {
-			return n, true
+			return n, gather.RoomNow
 		}
 	}
-	return "", false
+	return "", gather.RoomNone
 }
 
 func (s *stock) Repeat(time.Time, ident.Service) bool {
@@ -266,3 +270,54 @@
 		}
 	})
 }
+
+// Servers of a shard or two have no room at the moment at which a query begins, as when a pause has filled their queues.
+func TestRoomLater(t *testing.T) {
+	t.Run("for one part lets it be sent once there is room", func(t *testing.T) {
+		c, s := &stock{full: []ident.Service{"b"}}, gather.New(spec())
+		assertServers(t, s.Start(start, c), "a-1", "c-1", "d-1")
+		for _, i := range []int{0, 2, 3} {
+			end(s, c, 5, i, 0, gather.VerdictAnswered)
+		}
+		assertOpen(t, s)
+		c.full = nil
+		next, _ := s.Next(after(5))
+		assertServers(t, s.Tick(next, c), "b-1")
+		end(s, c, 20, 1, 0, gather.VerdictAnswered)
+		assertDone(t, s, gather.ReasonComplete, true)
+	})
+	t.Run("that does not come leaves the part out in time", func(t *testing.T) {
+		c, s := &stock{full: []ident.Service{"b"}}, gather.New(spec())
+		s.Start(start, c)
+		for _, i := range []int{0, 2, 3} {
+			end(s, c, 5, i, 0, gather.VerdictAnswered)
+		}
+		for now := start; now.Before(after(70)); {
+			next, more := s.Next(now)
+			if !more {
+				break
+			}
+			now = next
+			assertServers(t, s.Tick(now, c))
+		}
+		assertDone(t, s, gather.ReasonInTime, true)
+	})
+	t.Run("for too many parts has nothing sent", func(t *testing.T) {
+		c, s := &stock{full: []ident.Service{"b", "d"}}, gather.New(spec())
+		assertServers(t, s.Start(start, c))
+		assertDone(t, s, gather.ReasonUnreachable, false)
+		if s.Ran() {
+			t.Error("counts as run")
+		}
+	})
+	t.Run("elsewhere has a part of a server that has ended sent again", func(t *testing.T) {
+		c, s := &stock{repeats: 9}, gather.New(spec())
+		s.Start(start, c)
+		c.full = []ident.Service{"b"}
+		assertServers(t, end(s, c, 1, 1, 0, gather.VerdictUnsent))
+		assertOpen(t, s)
+		c.full = nil
+		next, _ := s.Next(after(1))
+		assertServers(t, s.Tick(next, c), "b-1")
+	})
+}
