trip, edge: measure the way to a caller on its connection

Cause: an answer is due by the aim less the way there and back, which was a constant of 8 ms.

Ruled out: the time that callers tell they have left; it shows what they have spent before, not the way back.

TestSetTimes holds near and far callers, TestTime the measure.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -24,6 +24,7 @@
 	"kumquatreel.example/kumquatreel/internal/tier/mirror"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
 	"kumquatreel.example/kumquatreel/internal/tier/source"
+	"kumquatreel.example/kumquatreel/internal/tier/trip"
 	"kumquatreel.example/kumquatreel/internal/tier/wire"
 )
 
@@ -179,8 +180,10 @@
 	if err != nil {
 		return nil, err
 	}
-	l = netutil.LimitListener(l, max(connectionsLeast, int(callersShare*float64(e.settings.Load().MaxOpenFiles()))))
-	srv, cut := drain.Serve(l, &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit})
+	l = netutil.LimitListener(trip.Listen(l), max(connectionsLeast, int(callersShare*float64(e.settings.Load().MaxOpenFiles()))))
+	srv, cut := drain.Serve(l, &http.Server{
+		Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, ConnContext: trip.Context,
+	})
 	e.cleanups = append(e.cleanups, cut)
 	go func() {
 		<-srv.Stopped()
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// travel is the time that an answer takes to its caller, and a request took to get here, each.
-	travel = 4 * time.Millisecond
+	// tripUnknown is taken for the time to a caller and back where the kernel has not measured it.
+	tripUnknown = 8 * time.Millisecond
+	// tripMost is the share of the aim that it may be taken for: beyond that an answer cannot be in time anyway.
+	tripMost = 0.5
 	// mergeTime is left for merging and writing an answer over shards, by a VM that shares its core with other requests.
-	mergeTime = 5 * time.Millisecond
+	mergeTime = 6 * time.Millisecond
 	// lingerAims times the aim after an answer was due, parts that are still open are stopped.
 	lingerAims = 1.0
 )
@@ -32,6 +34,8 @@
 	body    []byte
 	arrived time.Time
 	version int64
+	// trip is the time that bytes take to the caller and back.
+	trip time.Duration
 	// soft is when the answer should be on its way to be in time, hard when the request ends.
 	soft, hard time.Time
 }
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -18,6 +18,7 @@
 	"kumquatreel.example/kumquatreel/internal/tier/link"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
 	"kumquatreel.example/kumquatreel/internal/tier/topk"
+	"kumquatreel.example/kumquatreel/internal/tier/trip"
 )
 
 // Prefixes of log lines.
@@ -37,8 +38,6 @@
 
 	// budgetUnknown is the time a request has when neither its caller nor its route says so.
 	budgetUnknown = 10 * time.Second
-	// answerMargin is kept of a caller's time, so that the last answer still reaches it.
-	answerMargin = 2 * travel
 	// spentMost is the share of the aim that a caller may have spent for the answer to be hurried.
 	spentMost = 0.5
 	// retryLeast and retryMost bound the pause that callers are asked for.
@@ -135,6 +134,7 @@
 		return rq, no
 	}
 	rq.body = body
+	rq.trip = tripTime(r)
 	e.setTimes(rq, r)
 	if !time.Now().Before(rq.hard) {
 		return rq, &refusal{status: http.StatusServiceUnavailable, text: "no time is left", again: retryLeast}
@@ -197,13 +197,22 @@
 	return body, nil
 }
 
-// setTimes sets when the answer is due and when the request ends.
+// tripTime returns the time that bytes take to the caller of a request and back.
+func tripTime(r *http.Request) time.Duration {
+	if d, ok := trip.Time(r.Context()); ok {
+		return d
+	}
+	return tripUnknown
+}
+
+// setTimes sets when the answer is due and when the request ends. Both are counted by the caller from when it sent the
+// request to when it has the answer, so the time there and back is taken off.
 func (e *Edge) setTimes(rq *request, r *http.Request) {
 	budget, spent := budgetUnknown, time.Duration(0)
 	if n, err := strconv.ParseFloat(r.Header.Get(e.names.RemainingMs), 64); err == nil && n >= 0 {
 		left := time.Duration(n * float64(time.Millisecond))
 		spent = e.dispatch.spent(rq.route, left)
-		budget = max(0, left-answerMargin)
+		budget = max(0, left-rq.trip)
 	}
 	if t := rq.route.Timeout(); t > 0 {
 		budget = min(budget, t)
@@ -218,7 +227,8 @@
 		// The answer is late already, or this caller has another budget than most.
 		spent = 0
 	}
-	rq.soft = rq.arrived.Add(max(0, min(budget, aim-spent-2*travel-mergeTime)))
+	trip := min(rq.trip, time.Duration(tripMost*float64(aim)))
+	rq.soft = rq.arrived.Add(max(0, min(budget, aim-spent-trip-mergeTime)))
 }
 
 // head returns the request line and the headers for backend servers, without those that differ by server.
@@ -393,7 +403,8 @@
 	}
 	fields := []any{
 		"id", rq.id, "route", rq.route.Name(), "team", rq.team, "status", status, "version", rq.version, "ms", ms(took),
-		"aimMs", ms(rq.route.Aim()), "budgetMs", ms(rq.hard.Sub(rq.arrived)), "reason", out.reason.String(), "sends", out.sends, "hedges", out.hedges,
+		"aimMs", ms(rq.route.Aim()), "dueMs", ms(rq.soft.Sub(rq.arrived)), "tripMs", ms(rq.trip),
+		"budgetMs", ms(rq.hard.Sub(rq.arrived)), "reason", out.reason.String(), "sends", out.sends, "hedges", out.hedges,
 		"refused", out.refused, "missing", len(out.missing),
 	}
 	if len(out.missing) > 0 {
