--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -86,7 +86,6 @@
 	busy    atomic.Int64
 	load    loadMeter
 	fitness fitness
-	lag     lag
 	traffic *traffic
 
 	// callers takes the requests of callers.
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -17,6 +17,8 @@
 	tripUnknown = 8 * time.Millisecond
 	// tripMost is the share of the aim that it may be taken for: beyond that an answer cannot be in time anyway.
 	tripMost = 0.5
+	// mergeTime is left for merging and writing an answer over shards, by a VM that shares its core with other requests.
+	mergeTime = 6 * time.Millisecond
 	// lingerAims times the aim after an answer was due, parts that are still open are stopped.
 	lingerAims = 1.0
 )
@@ -46,8 +48,6 @@
 	ran     bool
 	parts   []*link.Answer
 	missing []ident.Service
-	// enoughAt is when enough parts were in.
-	enoughAt time.Time
 	// last is the last answer of a server that failed.
 	last    *link.Answer
 	sends   int
@@ -189,9 +189,6 @@
 		j.out.refused++
 	}
 	j.send(j.state.Ended(now, gather.Ended{Shard: f.send.Shard, Attempt: f.send.Attempt, Verdict: f.res.Verdict}, j.chooser))
-	if j.out.enoughAt.IsZero() && j.state.Enough() {
-		j.out.enoughAt = now
-	}
 }
 
 func (j *job) attempt(s gather.Send, permit *link.Permit) {
--- a/internal/tier/edge/request_test.go
+++ b/internal/tier/edge/request_test.go
@@ -104,7 +104,6 @@
 	e.dispatch.table = table.New(table.Text{Routes: []table.RouteText{{Name: "search", Host: "h", Prefix: "/", Shards: []ident.Service{"a"}, Aim: aim}}})
 	rq.route = e.dispatch.table.Match("h", "/")
 	const near, far = 6 * time.Millisecond, 16 * time.Millisecond
-	margin := e.lag.margin(aim)
 	set := func(left, trip time.Duration) {
 		r := &http.Request{Header: http.Header{"X-Left": {strconv.FormatInt(left.Milliseconds(), 10)}}}
 		rq.trip = trip
@@ -117,11 +116,11 @@
 		left, trip time.Duration
 		want       time.Duration
 	}{
-		{"a caller that comes at once", whole, near, aim - near - margin},
-		{"a caller that is far away", whole, far, aim - far - margin},
-		{"a caller that is too far away for an answer in time", whole, 3 * aim, aim/2 - margin},
-		{"a caller that was sent here by the directory", whole - 15*time.Millisecond, near, aim - 15*time.Millisecond - near - margin},
-		{"a caller that cannot be served in time any more", whole - 30*time.Millisecond, near, aim - near - margin},
+		{"a caller that comes at once", whole, near, aim - near - mergeTime},
+		{"a caller that is far away", whole, far, aim - far - mergeTime},
+		{"a caller that is too far away for an answer in time", whole, 3 * aim, aim/2 - mergeTime},
+		{"a caller that was sent here by the directory", whole - 15*time.Millisecond, near, aim - 15*time.Millisecond - near - mergeTime},
+		{"a caller that cannot be served in time any more", whole - 30*time.Millisecond, near, aim - near - mergeTime},
 		{"a caller with no time", 0, near, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -136,40 +135,3 @@
 		})
 	}
 }
-
-// A VM with a small part of a core writes answers long after they are due.
-func TestLag(t *testing.T) {
-	const aim = 40 * time.Millisecond
-	due := start.Add(aim)
-	noted := func(late time.Duration, enough time.Time) time.Duration {
-		var l lag
-		for range 200 {
-			l.note(due.Add(late), due, enough)
-		}
-		return l.margin(aim)
-	}
-	early := start
-	t.Run("of a quick VM leaves little", func(t *testing.T) {
-		if got := noted(time.Millisecond, early); got > handleTime+2*time.Millisecond {
-			t.Errorf("%v are left", got)
-		}
-	})
-	t.Run("of a slow VM leaves what it needs, within the aim", func(t *testing.T) {
-		if got := noted(4*time.Millisecond, early); got < handleTime+4*time.Millisecond {
-			t.Errorf("%v are left", got)
-		}
-		if got := noted(aim, early); got != aim/4 {
-			t.Errorf("%v are left, want %v", got, aim/4)
-		}
-	})
-	t.Run("does not count the wait for parts", func(t *testing.T) {
-		if got := noted(30*time.Millisecond, due.Add(29*time.Millisecond)); got > handleTime+2*time.Millisecond {
-			t.Errorf("%v are left", got)
-		}
-	})
-	t.Run("is not known from answers that were whole before they were due", func(t *testing.T) {
-		if got := noted(-time.Millisecond, early); got != handleTime+2*lagUsual {
-			t.Errorf("%v are left", got)
-		}
-	})
-}
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -228,7 +228,7 @@
 		spent = 0
 	}
 	trip := min(rq.trip, time.Duration(tripMost*float64(aim)))
-	rq.soft = rq.arrived.Add(max(0, min(budget, aim-spent-trip-e.lag.margin(aim))))
+	rq.soft = rq.arrived.Add(max(0, min(budget, aim-spent-trip-mergeTime)))
 }
 
 // head returns the request line and the headers for backend servers, without those that differ by server.
@@ -325,11 +325,7 @@
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
 	w.WriteHeader(http.StatusOK)
 	_, err := w.Write(body)
-	now := time.Now()
-	took := now.Sub(rq.arrived)
-	if out.reason == gather.ReasonInTime {
-		e.lag.note(now, rq.soft, out.enoughAt)
-	}
+	took := time.Since(rq.arrived)
 	e.countAnswer(rq, took, float64(len(signatures))/float64(len(out.parts)))
 	e.logAnswer(rq, out, http.StatusOK, took, err)
 }
