mirror: tell everything to VMs that may miss a removal, and bound the removals kept

Cause: found by a property test. A VM that reads everything again, after the store has forgotten its history, knows nothing of items that were published and removed since it last read. It told others only what had changed after their revision, so a VM that had seen such an item kept it: a server that is gone, or a failure domain that stays out. Removals were also kept for the life of a process.

Ruled out: marks for unknown keys, which nobody can name.

Change: reading everything raises the revision below which others are told everything, if it closes a gap. An unknown item that is not newer than what the copy is complete up to is known to be gone, so that old removals can be forgotten: 4096 are kept.

--- a/internal/tier/mirror/mirror.go
+++ b/internal/tier/mirror/mirror.go
@@ -7,6 +7,9 @@
 	"strings"
 )
 
+// marksMost is how many removals are kept to tell other VMs of; those that miss more get everything.
+const marksMost = 4096
+
 // Item is a published value, or the news that it was removed.
 type Item struct {
 	Key      string `json:"key"`
@@ -18,6 +21,8 @@
 // Mirror is a copy of the published items; the zero value is empty. It is driven under its owner's lock.
 type Mirror struct {
 	items map[string]Item
+	// marks counts the removed items among them.
+	marks int
 	asOf  int64
 	floor int64
 }
@@ -25,6 +30,9 @@
 // AsOf returns the revision up to which the copy is complete, 0 while it is not.
 func (m *Mirror) AsOf() int64 { return m.asOf }
 
+// Len returns how many items the copy keeps, removals included.
+func (m *Mirror) Len() int { return len(m.items) }
+
 // Floor returns the revision from which on the copy knows of every removal.
 func (m *Mirror) Floor() int64 { return m.floor }
 
@@ -39,6 +47,7 @@
 	if since <= m.asOf {
 		m.asOf = max(m.asOf, asOf)
 	}
+	m.prune()
 	return fresh
 }
 
@@ -59,12 +68,14 @@
 		}
 		gone := Item{Key: key, Revision: asOf, Removed: true}
 		m.items[key] = gone
+		m.marks++
 		fresh = append(fresh, gone)
 	}
-	if m.floor == 0 {
-		m.floor = asOf
+	if asOf > m.asOf {
+		// What was published and removed again meanwhile has left no trace here, though others may have seen it published.
+		m.floor, m.asOf = asOf, asOf
 	}
-	m.asOf = max(m.asOf, asOf)
+	m.prune()
 	return fresh
 }
 
@@ -82,12 +93,41 @@
 
 func (m *Mirror) put(it Item) bool {
 	old, ok := m.items[it.Key]
-	if ok && old.Revision >= it.Revision {
+	switch {
+	case ok && old.Revision >= it.Revision:
+		return false
+	case !ok && it.Revision <= m.asOf:
+		// The copy is complete up to there, so the item has been removed since.
 		return false
 	}
 	if m.items == nil {
 		m.items = make(map[string]Item)
 	}
+	if old.Removed {
+		m.marks--
+	}
+	if it.Removed {
+		m.marks++
+	}
 	m.items[it.Key] = it
 	return true
 }
+
+// prune forgets the older half of the removals once there are too many.
+func (m *Mirror) prune() {
+	if m.marks <= marksMost {
+		return
+	}
+	var marks []Item
+	for _, it := range m.items {
+		if it.Removed && it.Revision <= m.asOf {
+			marks = append(marks, it)
+		}
+	}
+	slices.SortFunc(marks, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, it := range marks[:len(marks)/2] {
+		delete(m.items, it.Key)
+		m.marks--
+		m.floor = max(m.floor, it.Revision)
+	}
+}
