repeat: count the window by the steady clock

Cause: found on reading. The window of second attempts moved by the time of day. A jump ahead by the window let a VM forget its repeats and take all of them again; after a jump back it took none until the time of day had come there again.

Ruled out: other uses of the time of day; what is left is the start of a process (handled in peers) and the times of log lines.

Change: steps are counted from the first instant seen.

Measured: TestClockJump, 40 repeats instead of 0 after a jump ahead and 0 instead of 40 after one back before; none after.

--- a/internal/limit/repeat/repeat.go
+++ b/internal/limit/repeat/repeat.go
@@ -23,7 +23,9 @@
 
 // Budget counts the first and repeated requests of each service; it is driven under its owner's lock.
 type Budget struct {
-	terms    Terms
+	terms Terms
+	// began is the first instant seen; steps are counted from it, as the time of day may jump.
+	began    time.Time
 	services map[ident.Service]*ring
 }
 
@@ -70,7 +72,10 @@
 
 // ring returns the counts of a service with the window moved up to now.
 func (b *Budget) ring(now time.Time, s ident.Service) *ring {
-	at := now.UnixNano() / int64(b.terms.Window/slots)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	at := int64(now.Sub(b.began) / (b.terms.Window / slots))
 	r := b.services[s]
 	if r == nil {
 		r = &ring{at: at}
--- a/internal/limit/repeat/repeat_test.go
+++ b/internal/limit/repeat/repeat_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+	"unsafe"
 
 	"kumquatreel.example/kumquatreel/internal/limit/repeat"
 )
@@ -56,6 +57,24 @@
 	})
 }
 
+// jumped returns an instant as a clock tells it whose time of day has jumped ahead; its steady reading is as it was.
+func jumped(now time.Time, by time.Duration) time.Time {
+	// The first word of a time with a steady reading holds the seconds of the time of day above 30 bits of nanoseconds.
+	wall := (*uint64)(unsafe.Pointer(&now))
+	*wall += uint64(by/time.Second) << 30
+	return now
+}
+
+// The time of day jumps by more than the window while servers are slow.
+func TestClockJump(t *testing.T) {
+	for _, by := range []time.Duration{20 * time.Second, -20 * time.Second} {
+		b, now := repeat.New(terms), time.Now()
+		take(b, now, 1)
+		assertTaken(t, take(b, jumped(now.Add(time.Second), by), 1), 0, 0)
+		assertTaken(t, take(b, jumped(now.Add(11*time.Second), by), 1), 35, 45)
+	}
+}
+
 // Nine VMs meet servers that are all slow, and each wants to repeat every request: together they stay within the bound
 // in every window.
 func TestAllSlow(t *testing.T) {
