edge, pace: do not stop all parts for good when all servers turn slow

Cause: found on reading. Parts are stopped an aim after the answer was due, and the estimate of what is usual learns from answers only. When most servers take longer than that, no part ever answers, nothing is learnt, and all requests fail though their callers would wait.

Change: a part that was stopped moves the median up, not what counts as late, and parts linger for four times the median at least.

Measured: TestAllSlow, 0 of 20 parts before and all after 20 requests.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -272,6 +272,9 @@
 		b.wrong = true
 	case gather.VerdictUnsent, gather.VerdictLost:
 		if res.Silent {
+			if res.Verdict == gather.VerdictLost {
+				d.pace(r).Lost(took)
+			}
 			b.rest = d.places.Unreachable(now, t)
 		} else {
 			d.places.Failed(now, t)
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -19,8 +19,10 @@
 	tripMost = 0.5
 	// mergeTime is left for merging and writing an answer over shards, by a VM that shares its core with other requests.
 	mergeTime = 6 * time.Millisecond
-	// lingerAims times the aim after an answer was due, parts that are still open are stopped.
-	lingerAims = 1.0
+	// lingerAims times the aim after an answer was due, or lingerUsual times the usual latency of a part if that is longer, parts
+	// that are still open are stopped.
+	lingerAims  = 1.0
+	lingerUsual = 4.0
 )
 
 // request is one attempt of a caller on its way through the edge.
@@ -216,11 +218,12 @@
 
 // expires returns when a server is to stop work: a part that comes long after the answer is of no use.
 func (j *job) expires() time.Time {
-	if len(j.out.parts) == 1 || j.rq.route.Aim() <= 0 {
+	aim := j.rq.route.Aim()
+	if len(j.out.parts) == 1 || aim <= 0 {
 		return j.rq.hard
 	}
-	limit := j.rq.soft.Add(time.Duration(lingerAims * float64(j.rq.route.Aim())))
-	if limit.Before(j.rq.hard) {
+	linger := max(time.Duration(lingerAims*float64(aim)), time.Duration(lingerUsual*float64(j.usual)))
+	if limit := j.rq.soft.Add(linger); limit.Before(j.rq.hard) {
 		return limit
 	}
 	return j.rq.hard
--- a/internal/tier/edge/request_test.go
+++ b/internal/tier/edge/request_test.go
@@ -12,6 +12,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/place"
 	"kumquatreel.example/kumquatreel/internal/tier/roster"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
 	"kumquatreel.example/kumquatreel/internal/tier/wire"
@@ -135,3 +136,31 @@
 		})
 	}
 }
+
+// All servers have turned so slow that no part comes before it is stopped; their callers would still wait for an answer.
+func TestAllSlow(t *testing.T) {
+	const aim, budget, part = 80 * time.Millisecond, 400 * time.Millisecond, 200 * time.Millisecond
+	const requests, shards = 20, 20
+	e, rq := newTestEdge(t, "127.0.0.1:1", "127.0.0.1:2")
+	e.dispatch.table = table.New(table.Text{Routes: []table.RouteText{{Name: "search", Host: "h", Prefix: "/", Shards: []ident.Service{"a", "b"}, Aim: aim}}})
+	rq.route = e.dispatch.table.Match("h", "/")
+	rq.soft, rq.hard = rq.arrived.Add(aim), rq.arrived.Add(budget)
+	late := 0
+	for range requests {
+		usual, _ := e.dispatch.usual(rq.route)
+		j := &job{edge: e, rq: rq, usual: usual, out: outcome{parts: make([]*link.Answer, 2)}}
+		wait := j.expires().Sub(rq.arrived)
+		late = 0
+		for range shards {
+			res, took := link.Result{Verdict: gather.VerdictLost, Silent: true}, wait
+			if part <= wait {
+				res, took = link.Result{Verdict: gather.VerdictAnswered}, part
+				late++
+			}
+			e.dispatch.end(start, rq.route, place.Ticket{}, "a-1", res, wire.Names{}, took)
+		}
+	}
+	if late < shards {
+		t.Errorf("%d of %d parts come before they are stopped, want all", late, shards)
+	}
+}
--- a/internal/tier/pace/pace.go
+++ b/internal/tier/pace/pace.go
@@ -37,6 +37,14 @@
 	p.high = max(move(p.high, took, highQuantile), p.median)
 }
 
+// Lost takes the time after which an answer was no longer waited for. It tells of the median only: a few silent servers must not
+// make all others seem slow, but when most are slower than they are waited for, that must show.
+func (p *Pace) Lost(waited time.Duration) {
+	p.Start(waited)
+	p.median = move(p.median, waited, 0.5)
+	p.high = max(p.high, p.median)
+}
+
 // Spent takes the time that a caller has left and returns how much it has spent before it got here.
 //
 // Callers of one kind of request begin with the same time, so the longest seen is what they began with; it gives way
--- a/internal/tier/pace/pace_test.go
+++ b/internal/tier/pace/pace_test.go
@@ -30,6 +30,26 @@
 	})
 }
 
+// Every tenth answer is not waited for to its end, since its server is silent.
+func TestLost(t *testing.T) {
+	rng := rand.New(rand.NewPCG(2, 1))
+	var p pace.Pace
+	p.Start(50 * time.Millisecond)
+	for i := range 4000 {
+		if i%10 == 0 {
+			p.Lost(150 * time.Millisecond)
+			continue
+		}
+		p.Observe(time.Duration(rng.Float64() * float64(20*time.Millisecond)))
+	}
+	t.Run("leaves what counts as late", func(t *testing.T) {
+		assertNear(t, "high", p.High(), 18600*time.Microsecond, 2*time.Millisecond)
+	})
+	t.Run("moves the median a little", func(t *testing.T) {
+		assertNear(t, "median", p.Median(), 11*time.Millisecond, 3*time.Millisecond)
+	})
+}
+
 func TestSpent(t *testing.T) {
 	t.Run("is what is missing from the longest time seen", func(t *testing.T) {
 		var p pace.Pace
