place, edge: leave servers alone for a moment after a failed connection

Shards had lost all servers. Each request tried one of these, had sent its other 17 or 18 parts meanwhile, and its caller came back at once for the same.

Ruled out: the rest of a server; it only holds while there is another one.

Change: a server to which a connection failed is not tried for 100 ms. Requests in between know at once that they cannot be served, send nothing and are refused with the time to come back. A server that is silent is tried as before.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -270,15 +270,19 @@
 		d.places.Dropped(t)
 		d.roster.Wrong(server)
 		b.wrong = true
-	case gather.VerdictUnsent, gather.VerdictLost:
+	case gather.VerdictUnsent:
 		if res.Silent {
-			if res.Verdict == gather.VerdictLost {
-				d.pace(r).Lost(took)
-			}
 			b.rest = d.places.Unreachable(now, t)
 		} else {
 			d.places.Failed(now, t)
 		}
+	case gather.VerdictLost:
+		if res.Silent {
+			d.pace(r).Lost(took)
+			b.rest = d.places.Silent(now, t)
+		} else {
+			d.places.Failed(now, t)
+		}
 	case gather.VerdictFailed:
 		d.places.Failed(now, t)
 	}
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -31,9 +31,12 @@
 	overduePenalty = 100 * time.Millisecond
 	// coldFactor is how much slower a cold server is taken to be.
 	coldFactor = 1.6
-	// downFirst and downMost bound the time for which a server that cannot be reached gets nothing.
+	// downFirst and downMost bound the time for which a server that is silent or cannot be reached gets nothing while there are
+	// others.
 	downFirst = 100 * time.Millisecond
 	downMost  = time.Second
+	// probePause is the time after a failed connection in which a server gets nothing at all.
+	probePause = 100 * time.Millisecond
 	// awayShare of the usual latency is charged to a server in another failure domain, whose bytes cost more.
 	awayShare = 1.0
 	// forget is the time after which what is known of an idle server's speed has lost half its weight.
@@ -75,6 +78,8 @@
 	failedAt  time.Time
 	downUntil time.Time
 	downFor   time.Duration
+	// closedAt is when a connection to the server failed last.
+	closedAt time.Time
 }
 
 type owed struct {
@@ -100,17 +105,21 @@
 		}
 	}
 	if best.Server == "" {
-		return p.probe(options)
+		return p.probe(now, options)
 	}
 	return best, true
 }
 
-// probe returns a server that is resting, when there is no other: one at a time finds out whether it is back.
-func (p *Places) probe(options []Option) (Option, bool) {
+// probe returns a server that is resting, when there is no other: one request at a time finds out whether it is back. Where
+// connections fail, the next one does only after a pause: all others would send their other parts for nothing.
+func (p *Places) probe(now time.Time, options []Option) (Option, bool) {
 	best := Option{}
 	for _, o := range options {
 		r := p.servers[o.Server]
-		if len(r.owed) == 0 && (best.Server == "" || r.downUntil.Before(p.servers[best.Server].downUntil)) {
+		if len(r.owed) > 0 || now.Sub(r.closedAt) < probePause {
+			continue
+		}
+		if best.Server == "" || r.downUntil.Before(p.servers[best.Server].downUntil) {
 			best = o
 		}
 	}
@@ -216,9 +225,15 @@
 	r.result(now, 1)
 }
 
-// Unreachable records that a server could not be connected to, or went silent, and returns the rest that it is given,
-// which grows each time.
+// Unreachable records that a server could not be connected to and returns the rest that it is given, which grows each time.
 func (p *Places) Unreachable(now time.Time, t Ticket) time.Duration {
+	rest := p.Silent(now, t)
+	p.servers[t.server].closedAt = now
+	return rest
+}
+
+// Silent records that a server did not answer and returns the rest that it is given, which grows each time.
+func (p *Places) Silent(now time.Time, t Ticket) time.Duration {
 	r := p.record(now, t.server)
 	r.settle(t.id)
 	r.result(now, 1)
--- a/internal/tier/place/place_test.go
+++ b/internal/tier/place/place_test.go
@@ -73,10 +73,10 @@
 		assertShare(t, p, start, pair(), 1000, 1000)
 		assertShare(t, p, start.Add(5*time.Second), pair(), 300, 700)
 	})
-	t.Run("tries one request at a server when all are down", func(t *testing.T) {
+	t.Run("tries one request at a server when all are silent", func(t *testing.T) {
 		p := &place.Places{}
 		for _, o := range pair() {
-			p.Unreachable(start, p.Sent(start, o.Server, usual))
+			p.Silent(start, p.Sent(start, o.Server, usual))
 		}
 		rng := rand.New(rand.NewPCG(1, 1))
 		for range pair() {
@@ -137,6 +137,28 @@
 	})
 }
 
+// All servers of a shard are down, and requests go on coming.
+func TestProbe(t *testing.T) {
+	p := &place.Places{}
+	rng := rand.New(rand.NewPCG(3, 1))
+	for _, o := range pair() {
+		for range 8 {
+			p.Unreachable(start, p.Sent(start, o.Server, usual))
+		}
+	}
+	probes := 0
+	for at := time.Duration(0); at < 2*time.Second; at += time.Millisecond {
+		now := start.Add(at)
+		if o, ok := p.Pick(now, pair(), usual, rng); ok {
+			probes++
+			p.Unreachable(now, p.Sent(now, o.Server, usual))
+		}
+	}
+	if probes < 10 || probes > 50 {
+		t.Errorf("2000 requests in two seconds made %d tries, want a few of each server a second", probes)
+	}
+}
+
 func TestFailures(t *testing.T) {
 	t.Run("keep requests away from a server that answers with errors", func(t *testing.T) {
 		p := &place.Places{}
