quota, table, edge: admit teams without a burst, and take hosts and key schemes in any case

Cause: found on reading. A team with a rate and no burst had a bucket that held nothing, so that all of its requests were refused. A host, or the word before a key, in another case was not recognised, which ends in 404 or 401.

Ruled out: no limit at all for such a team; its rate was published.

Change: a burst below one request is taken for a quarter of a second of the rate, one request at least.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -29,6 +29,9 @@
 	countLast = 2 * time.Second
 	// owedMost bounds what a team can owe, as time of its rate.
 	owedMost = 2 * time.Second
+	// burstLeast is the burst of a team whose own holds no request, as time of its rate and at least one request: nothing could
+	// ever be admitted else. Rates are counted over seconds, so this is far within what a team may overshoot.
+	burstLeast = 250 * time.Millisecond
 )
 
 // Limit is a team's rate in requests per second, and its burst.
@@ -85,6 +88,9 @@
 // SetLimits replaces the limits of all teams.
 func (q *Quota) SetLimits(now time.Time, limits map[ident.Team]Limit) {
 	for name, limit := range limits {
+		if limit.Burst < 1 {
+			limit.Burst = max(1, burstLeast.Seconds()*limit.Rate)
+		}
 		t := q.teams[name]
 		if t == nil {
 			level := limit.Burst
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -298,6 +298,19 @@
 		f.admitted = f.admitted[100:]
 		f.assertBound(t)
 	})
+	t.Run("without a burst admits the rate", func(t *testing.T) {
+		for _, limit := range []quota.Limit{{Rate: 20}, {Rate: 20, Burst: 0.5}, {Rate: 0.5}} {
+			rng := rand.New(rand.NewPCG(8, 1))
+			f := newFleet(limit)
+			f.paced = true
+			f.play(rng, 0, 20*time.Second, 0.8*limit.Rate, f.anyVM(rng))
+			if n := total(f.refused); n > 0 {
+				t.Errorf("rate %v, burst %v: %d of %d refused, want none", limit.Rate, limit.Burst, n, n+total(f.admitted))
+			}
+			f.play(rng, 20*time.Second, 40*time.Second, 5*limit.Rate, f.anyVM(rng))
+			f.assertBound(t)
+		}
+	})
 	t.Run("without a rate admits all", func(t *testing.T) {
 		q := quota.New(start)
 		q.SetLimits(start, map[ident.Team]quota.Limit{team: {}})
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -33,7 +33,7 @@
 
 const (
 	authorization = "Authorization"
-	bearer        = "Bearer "
+	bearer        = "Bearer"
 	retryAfter    = "Retry-After"
 
 	// budgetUnknown is the time a request has when neither its caller nor its route says so.
@@ -167,8 +167,8 @@
 	if !t.Keyed() {
 		return nil, true
 	}
-	key, ok := strings.CutPrefix(header, bearer)
-	if ok {
+	scheme, key, _ := strings.Cut(header, " ")
+	if strings.EqualFold(scheme, bearer) {
 		if team := t.Holder(strings.TrimSpace(key)); team != nil {
 			return team, true
 		}
--- a/internal/tier/table/table.go
+++ b/internal/tier/table/table.go
@@ -99,7 +99,8 @@
 		keys: make(map[string]*Team), teams: make(map[ident.Team]*Team, len(t.Teams)),
 	}
 	for _, r := range t.Routes {
-		b.hosts[r.Host] = append(b.hosts[r.Host], &Route{text: r})
+		host := strings.ToLower(r.Host)
+		b.hosts[host] = append(b.hosts[host], &Route{text: r})
 	}
 	for _, routes := range b.hosts {
 		slices.SortStableFunc(routes, func(x, y *Route) int { return cmp.Compare(len(y.text.Prefix), len(x.text.Prefix)) })
@@ -148,9 +149,9 @@
 // Holder returns the team that holds a key, or nil.
 func (b *Table) Holder(key string) *Team { return b.keys[key] }
 
-// Match returns the route with the longest prefix of a path on a host, or nil.
+// Match returns the route with the longest prefix of a path on a host, whose case does not matter, or nil.
 func (b *Table) Match(host, path string) *Route {
-	for _, r := range b.hosts[host] {
+	for _, r := range b.hosts[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.text.Prefix) {
 			return r
 		}
--- a/internal/tier/table/table_test.go
+++ b/internal/tier/table/table_test.go
@@ -40,6 +40,10 @@
 		assertRoute(t, "b.example", "/x/z", "split")
 		assertRoute(t, "c.example", "/x/z", "")
 	})
+	t.Run("takes a host in any case, but a path as it is", func(t *testing.T) {
+		assertRoute(t, "A.Example", "/x/z", "short")
+		assertRoute(t, "a.example", "/X/z", "")
+	})
 	t.Run("needs the whole prefix", func(t *testing.T) {
 		assertRoute(t, "a.example", "/x", "")
 	})
