topk: take any number of wanted records

Cause: found on reading. A merger made room for all wanted records at once: a published number below 0 ended the request with a panic, a very large one the process.

Change: room grows with what comes, and a number below 0 is none.

Measured: the new case of TestMerger panics before. Nothing else changes.

--- a/internal/tier/topk/topk.go
+++ b/internal/tier/topk/topk.go
@@ -17,8 +17,14 @@
 	heap records
 }
 
+// roomMost is for how many records there is room at first, however many are wanted.
+const roomMost = 256
+
 // New returns a merger that keeps at most so many records.
-func New(most int) *Merger { return &Merger{most: most, heap: make(records, 0, most)} }
+func New(most int) *Merger {
+	most = max(0, most)
+	return &Merger{most: most, heap: make(records, 0, min(most, roomMost))}
+}
 
 // Add takes a part; a rest that is shorter than a record is none.
 func (m *Merger) Add(part []byte) {
--- a/internal/tier/topk/topk_test.go
+++ b/internal/tier/topk/topk_test.go
@@ -36,6 +36,13 @@
 		m.Add(records(7, 2))
 		assertRecords(t, m, 9, 7, 5)
 	})
+	t.Run("keeps all where more are wanted than there are, and none where none are", func(t *testing.T) {
+		for most, want := range map[int][]uint64{1 << 40: {9, 5, 1}, 0: nil, -1: nil} {
+			m := topk.New(most)
+			m.Add(records(5, 1, 9))
+			assertRecords(t, m, want...)
+		}
+	})
 	t.Run("keeps equal records", func(t *testing.T) {
 		m := topk.New(3)
 		m.Add(records(4, 4))
