edge: tell of servers that were passed over as down

Cause: a request that is refused at once since all servers of a shard are at rest told only that none was passed over as cold, full or slow; an engineer could not see why.

Change: passedDown among the inputs of a request that is not answered.

Measured: TestDownTold. The decisions are the same.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -121,23 +121,28 @@
 
 // passed counts servers that got no request.
 type passed struct {
-	// cold ones have had their rate, full ones have no connection to spare, slow ones have too long a queue.
-	cold, full, slow int
+	// cold ones have had their rate, full ones have no connection to spare, slow ones have too long a queue, and down ones are
+	// at rest since they were silent or could not be reached.
+	cold, full, slow, down int
 }
 
+// busy returns how many lacked room.
+func (p passed) busy() int { return p.cold + p.full + p.slow }
+
 // Choose implements gather.Chooser.
 func (c *chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, gather.Room) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before := c.passed
+	before := c.passed.busy()
 	usable, spare := c.roster.Candidates(now, service)
 	for _, members := range [][]*roster.Member{usable, spare} {
 		options := c.options(now, members, exclude)
 		if o, ok := c.places.Pick(now, options, c.usual, c.rng); ok {
 			return o.Server, gather.RoomNow
 		}
+		c.passed.down += len(options)
 	}
-	if c.passed != before {
+	if c.passed.busy() > before {
 		return "", gather.RoomLater
 	}
 	return "", gather.RoomNone
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -67,3 +67,20 @@
 		t.Errorf("%d requests are sent at once to a server that has said it is cold, want 1", n)
 	}
 }
+
+// All servers of a service refuse connections: the next requests are refused at once, and their log tells why.
+func TestDownTold(t *testing.T) {
+	d := newTestDispatch(t, "a", "b")
+	usable, _ := d.roster.Candidates(start, "books")
+	for _, m := range usable {
+		server := m.Entry().Server
+		d.places.Unreachable(start, d.places.Sent(start, server, usual))
+	}
+	c := &chooser{dispatch: d, usual: usual, patience: time.Second}
+	if server, room := c.Choose(start.Add(usual), "books", nil); room != gather.RoomNone {
+		t.Errorf("found %q, room %v; want none", server, room)
+	}
+	if c.passed.down != 2 || c.passed.busy() != 0 {
+		t.Errorf("%+v were passed over, want two as down", c.passed)
+	}
+}
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -297,6 +297,7 @@
 func (o outcome) inputs() []any {
 	return []any{
 		"sends", o.sends, "refused", o.refused, "passedCold", o.passed.cold, "passedFull", o.passed.full, "passedSlow", o.passed.slow,
+		"passedDown", o.passed.down,
 	}
 }
 
