--- a/internal/base/drain/drain.go
+++ b/internal/base/drain/drain.go
@@ -15,8 +15,8 @@
 const (
 	// poll is how often a draining server looks whether it is done.
 	poll = 5 * time.Millisecond
-	// FirstRequest is how long after it was accepted a connection may wait with its first request; callers give up sooner.
-	FirstRequest = time.Second
+	// firstRequest is how long a connection may wait with its first request after it was accepted; callers give up sooner.
+	firstRequest = time.Second
 )
 
 // Server serves HTTP on one listener.
@@ -81,7 +81,7 @@
 		case http.StateActive:
 			return true
 		case http.StateNew:
-			if now.Sub(st.since) < FirstRequest {
+			if now.Sub(st.since) < firstRequest {
 				return true
 			}
 		case http.StateIdle, http.StateHijacked, http.StateClosed:
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -15,7 +15,7 @@
 const (
 	// tripUnknown is taken for the time to a caller and back where the kernel has not measured it.
 	tripUnknown = 8 * time.Millisecond
-	// tripMost is the share of the aim that it may be taken for: beyond that an answer cannot be in time anyway.
+	// tripMost bounds that time, as a share of the aim: beyond it an answer cannot be in time anyway.
 	tripMost = 0.5
 	// mergeTime is left for merging and writing an answer over shards, by a VM that shares its core with other requests.
 	mergeTime = 6 * time.Millisecond
@@ -164,7 +164,11 @@
 			j.out.hedges++
 		}
 		if s.Cause != gather.CauseFirst {
-			j.edge.log.Info(partRequest, "part sent again", "id", j.rq.id, "service", s.Service, "server", s.Server, "attempt", s.Attempt,
+			text := "part sent again"
+			if s.Attempt == 0 {
+				text = "part sent after a wait for room"
+			}
+			j.edge.log.Info(partRequest, text, "id", j.rq.id, "service", s.Service, "server", s.Server, "attempt", s.Attempt,
 				"cause", s.Cause.String(), "afterMs", ms(s.After), "usualMs", ms(j.usual), "lateMs", ms(j.late))
 		}
 		permit := &link.Permit{}
--- a/internal/tier/gather/doc.go
+++ b/internal/tier/gather/doc.go
@@ -8,5 +8,7 @@
 //
 // The load it answers is a fan-out over servers that pause at times: a part
 // that is late beyond what is usual is sent to another server, and the answer
-// is given with what is there when waiting would make it late.
+// is given with what is there when waiting would make it late. A part whose
+// servers have no room at the moment waits for it; when more parts lack room
+// than may be missing, nothing is sent.
 package gather
--- a/internal/tier/trip/trip.go
+++ b/internal/tier/trip/trip.go
@@ -62,6 +62,7 @@
 		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	if cerr != nil || err != nil || info.Rtt == 0 {
+		// The connection has been closed meanwhile, or the kernel has not measured it.
 		return 0, false
 	}
 	return time.Duration(info.Rtt) * time.Microsecond, true
