edge, repeat, warmup: forget what concerns routes, services and servers that are gone

Estimates of each route, counts of each service, times of each cold server and the metrics of each route were kept for the life of a process.

Ruled out: dropping metrics at once; a route that is gone is asked about afterwards, and they are scraped every few seconds.

Change: every ten seconds what is not in force is forgotten, metrics five minutes after their route has gone.

Measured: TestPrune in edge, repeat and warmup; 100 of 100 were kept before (the code had no way to forget).

--- a/internal/limit/repeat/repeat.go
+++ b/internal/limit/repeat/repeat.go
@@ -1,6 +1,7 @@
 package repeat
 
 import (
+	"maps"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
@@ -60,6 +61,9 @@
 	return true
 }
 
+// Len returns how many services have been counted lately.
+func (b *Budget) Len() int { return len(b.services) }
+
 // Counts returns the first and repeated requests of a service in the window.
 func (b *Budget) Counts(now time.Time, s ident.Service) (first, repeats int) {
 	r := b.ring(now, s)
@@ -70,12 +74,23 @@
 	return first, repeats
 }
 
-// ring returns the counts of a service with the window moved up to now.
-func (b *Budget) ring(now time.Time, s ident.Service) *ring {
+// Prune forgets the services that have had no request within the window.
+func (b *Budget) Prune(now time.Time) {
+	at := b.step(now)
+	maps.DeleteFunc(b.services, func(_ ident.Service, r *ring) bool { return at-r.at > slots })
+}
+
+// step returns the step of the window that an instant is in.
+func (b *Budget) step(now time.Time) int64 {
 	if b.began.IsZero() {
 		b.began = now
 	}
-	at := int64(now.Sub(b.began) / (b.terms.Window / slots))
+	return int64(now.Sub(b.began) / (b.terms.Window / slots))
+}
+
+// ring returns the counts of a service with the window moved up to now.
+func (b *Budget) ring(now time.Time, s ident.Service) *ring {
+	at := b.step(now)
 	r := b.services[s]
 	if r == nil {
 		r = &ring{at: at}
--- a/internal/limit/repeat/repeat_test.go
+++ b/internal/limit/repeat/repeat_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 	"unsafe"
 
+	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/limit/repeat"
 )
 
@@ -57,6 +59,18 @@
 	})
 }
 
+// Services come and go with each new set of shards.
+func TestPrune(t *testing.T) {
+	b := repeat.New(terms)
+	for i := range 100 {
+		b.First(start.Add(time.Duration(i)*time.Second), ident.Service(strconv.Itoa(i)))
+	}
+	b.Prune(start.Add(100 * time.Second))
+	if n := b.Len(); n < 9 || n > 12 {
+		t.Errorf("%d services are kept, want those of the last ten seconds", n)
+	}
+}
+
 // jumped returns an instant as a clock tells it whose time of day has jumped ahead; its steady reading is as it was.
 func jumped(now time.Time, by time.Duration) time.Time {
 	// The first word of a time with a steady reading holds the seconds of the time of day above 30 bits of nanoseconds.
--- a/internal/limit/warmup/warmup.go
+++ b/internal/limit/warmup/warmup.go
@@ -1,6 +1,7 @@
 package warmup
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -35,6 +36,14 @@
 // Forget drops a server that is no longer cold.
 func (g *Gate) Forget(s ident.Server) { delete(g.next, s) }
 
+// Prune forgets the servers that may be sent to anyway.
+func (g *Gate) Prune(now time.Time) {
+	maps.DeleteFunc(g.next, func(_ ident.Server, next time.Time) bool { return !now.Before(next) })
+}
+
+// Len returns how many servers have had their rate for now.
+func (g *Gate) Len() int { return len(g.next) }
+
 // share returns the VM's part of a server's rate, in requests per second; one that is no member has none.
 func share(s ident.Server, rate float64, self ident.VM, members []ident.VM) float64 {
 	if rate <= 0 || !slices.Contains(members, self) {
--- a/internal/limit/warmup/warmup_test.go
+++ b/internal/limit/warmup/warmup_test.go
@@ -75,6 +75,20 @@
 	})
 }
 
+// Cold servers come and go, each under a name of its own.
+func TestPrune(t *testing.T) {
+	var g warmup.Gate
+	self := []ident.VM{"vm0"}
+	for i := range 100 {
+		g.Spend(start.Add(time.Duration(i)*time.Second), ident.Server(fmt.Sprint(i)), 0.5, "vm0", self)
+	}
+	now := start.Add(100 * time.Second)
+	g.Prune(now)
+	if n := g.Len(); n != 1 || g.Open(now, "99", 0.5, "vm0", self) {
+		t.Errorf("%d servers are kept, want the last, which has had its rate", n)
+	}
+}
+
 func TestOutside(t *testing.T) {
 	var g warmup.Gate
 	if g.Open(start, "a", 100, "vm9", []ident.VM{"vm0", "vm1"}) {
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"kumquatreel.example/kumquatreel/internal/base/group"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/setup"
 	"kumquatreel.example/kumquatreel/internal/limit/repeat"
@@ -294,6 +296,23 @@
 	return b
 }
 
+// prune forgets what concerns servers, services and routes that are gone, and returns the routes in force.
+func (d *dispatch) prune(now time.Time) group.Set[ident.Route] {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.repeats.Prune(now)
+	d.gate.Prune(now)
+	if d.table == nil {
+		return nil
+	}
+	routes := make(group.Set[ident.Route])
+	for _, r := range d.table.Routes() {
+		routes.Add(r.Name)
+	}
+	maps.DeleteFunc(d.paces, func(name ident.Route, _ *pace.Pace) bool { return !routes.Has(name) })
+	return routes
+}
+
 // dropped records that a request was taken back.
 func (d *dispatch) dropped(t place.Ticket) {
 	d.mu.Lock()
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -53,7 +53,7 @@
 	settingsCheck = 2 * time.Second
 	// housekeeping is how often connections to servers that are gone are closed.
 	housekeeping = time.Second
-	// summaryEvery is how many rounds of housekeeping pass between two summaries in the log.
+	// summaryEvery is how many rounds of housekeeping pass between two summaries in the log, after which what is gone is forgotten.
 	summaryEvery = 10
 )
 
@@ -223,6 +223,8 @@
 		}
 		if n%summaryEvery == 0 {
 			e.summarize()
+			now := time.Now()
+			e.metrics.prune(now, e.dispatch.prune(now))
 		}
 		d := e.dispatch
 		known := func(s ident.Server) bool { return d.roster.Member(s) != nil }
--- a/internal/tier/edge/meter.go
+++ b/internal/tier/edge/meter.go
@@ -7,10 +7,19 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"kumquatreel.example/kumquatreel/internal/base/group"
+	"kumquatreel.example/kumquatreel/internal/base/ident"
 )
 
+// seriesKept is how long the metrics of a route that is gone can still be read.
+const seriesKept = 5 * time.Minute
+
 // meter counts what happens to requests.
 type meter struct {
+	// routes are the routes that have been in force lately, each with the last time; housekeeping alone uses it.
+	routes map[ident.Route]time.Time
+
 	registry *prometheus.Registry
 	latency  *prometheus.HistogramVec
 	coverage *prometheus.HistogramVec
@@ -23,6 +32,7 @@
 
 func newMeter() *meter {
 	m := &meter{
+		routes:   make(map[ident.Route]time.Time),
 		registry: prometheus.NewRegistry(),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "kumquatreel_edge_request_seconds", Help: "Time from arrival to answer.",
@@ -72,6 +82,24 @@
 
 func (m *meter) gone(rq *request) { m.left.WithLabelValues(string(rq.route.Name())).Inc() }
 
+// prune takes the routes in force and drops the metrics of those that have long been gone.
+func (m *meter) prune(now time.Time, routes group.Set[ident.Route]) {
+	for name := range routes {
+		m.routes[name] = now
+	}
+	for name, last := range m.routes {
+		if now.Sub(last) < seriesKept {
+			continue
+		}
+		delete(m.routes, name)
+		labels := prometheus.Labels{"route": string(name)}
+		m.latency.DeletePartialMatch(labels)
+		m.coverage.DeletePartialMatch(labels)
+		m.failed.DeletePartialMatch(labels)
+		m.left.DeletePartialMatch(labels)
+	}
+}
+
 func (m *meter) read(err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/tier/edge/meter_test.go
+++ b/internal/tier/edge/meter_test.go
@@ -2,12 +2,56 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
 )
 
+// Each change of the configuration replaces a route for months.
+func TestPrune(t *testing.T) {
+	const changes = 100
+	d, m := newTestDispatch(t), newMeter()
+	now := start
+	for i := range changes {
+		now = start.Add(time.Duration(i) * time.Minute)
+		d.table = table.New(table.Text{Routes: []table.RouteText{{Name: ident.Route(strconv.Itoa(i)), Host: "h", Prefix: "/"}}})
+		rq := &request{team: "tailors", route: d.table.Match("h", "/")}
+		d.usual(rq.route)
+		m.answered(rq, time.Millisecond, 1)
+		m.refused(rq, http.StatusServiceUnavailable, time.Millisecond)
+		m.gone(rq)
+		m.prune(now, d.prune(now))
+	}
+	most := int(seriesKept/time.Minute) + 1
+	t.Run("keeps the metrics of routes that have been in force lately", func(t *testing.T) {
+		for _, n := range []int{
+			testutil.CollectAndCount(m.latency), testutil.CollectAndCount(m.coverage), testutil.CollectAndCount(m.failed),
+			testutil.CollectAndCount(m.left),
+		} {
+			if n < 2 || n > most {
+				t.Errorf("%d series are kept of %d routes, want at most %d", n, changes, most)
+			}
+		}
+	})
+	t.Run("keeps the estimates of routes in force", func(t *testing.T) {
+		if n := len(d.paces); n != 1 {
+			t.Errorf("%d estimates are kept, want one", n)
+		}
+	})
+	t.Run("forgets nothing while no configuration is known", func(t *testing.T) {
+		d.table = nil
+		m.prune(now, d.prune(now))
+		if n := testutil.CollectAndCount(m.latency); n < 2 {
+			t.Errorf("%d series are kept", n)
+		}
+	})
+}
+
 // BenchmarkMeter measures what counting one request costs.
 func BenchmarkMeter(b *testing.B) {
 	t := table.New(table.Text{Routes: []table.RouteText{{Name: "search", Host: "h", Prefix: "/", Aim: 100 * time.Millisecond}}})
--- a/internal/tier/table/table.go
+++ b/internal/tier/table/table.go
@@ -146,6 +146,9 @@
 // Keyed reports whether requests need a key.
 func (b *Table) Keyed() bool { return len(b.text.Teams) > 0 }
 
+// Routes returns the published routes.
+func (b *Table) Routes() []RouteText { return b.text.Routes }
+
 // Holder returns the team that holds a key, or nil.
 func (b *Table) Holder(key string) *Team { return b.keys[key] }
 
