mirror: believe the store of what is there

Cause: read once more. Since unknown items that are not newer than the copy count as removed, a copy that had wrongly become complete could not be mended by reading everything.

Change: what a reading lists, as of no earlier than the copy, is there.

--- a/internal/tier/mirror/mirror.go
+++ b/internal/tier/mirror/mirror.go
@@ -40,7 +40,7 @@
 func (m *Mirror) Merge(changes []Item, since, asOf int64) []Item {
 	var fresh []Item
 	for _, it := range changes {
-		if m.put(it) {
+		if m.put(it, m.asOf) {
 			fresh = append(fresh, it)
 		}
 	}
@@ -55,9 +55,14 @@
 func (m *Mirror) Replace(prefix string, items []Item, asOf int64) []Item {
 	present := make(map[string]bool, len(items))
 	var fresh []Item
+	complete := m.asOf
+	if asOf >= m.asOf {
+		// What is there now is there, whatever the copy should know of it.
+		complete = 0
+	}
 	for _, it := range items {
 		present[it.Key] = true
-		if m.put(it) {
+		if m.put(it, complete) {
 			fresh = append(fresh, it)
 		}
 	}
@@ -91,13 +96,10 @@
 	return out
 }
 
-func (m *Mirror) put(it Item) bool {
+// put takes an item, given the revision up to which the copy is complete: an unknown one that is not newer has been removed.
+func (m *Mirror) put(it Item, complete int64) bool {
 	old, ok := m.items[it.Key]
-	switch {
-	case ok && old.Revision >= it.Revision:
-		return false
-	case !ok && it.Revision <= m.asOf:
-		// The copy is complete up to there, so the item has been removed since.
+	if ok && old.Revision >= it.Revision || !ok && it.Revision <= complete {
 		return false
 	}
 	if m.items == nil {
--- a/internal/tier/mirror/mirror_test.go
+++ b/internal/tier/mirror/mirror_test.go
@@ -57,6 +57,11 @@
 		m.Replace("", []mirror.Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 2)
 		assertKeys(t, m.Replace("", []mirror.Item{{Key: "b", Revision: 2}}, 6), "-a")
 	})
+	t.Run("takes what is there, though the copy should have known it", func(t *testing.T) {
+		var m mirror.Mirror
+		m.Merge(nil, 0, 9)
+		assertKeys(t, m.Replace("", []mirror.Item{{Key: "a", Revision: 3}}, 9), "a")
+	})
 	t.Run("keeps what came after it was read", func(t *testing.T) {
 		var m mirror.Mirror
 		m.Replace("", nil, 2)
