drain, platform: take connections that wait to be accepted before the listener closes

A connection that is open for its caller and not yet accepted is reset by the kernel; on a busy VM it may wait for milliseconds.

Ruled out: a request that was read (the connection was still being opened), kills (none near).

A refusal before its times are known does not tell a budget.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -180,8 +180,9 @@
 	if err != nil {
 		return nil, err
 	}
-	l = netutil.LimitListener(trip.Listen(l), max(connectionsLeast, int(callersShare*float64(e.settings.Load().MaxOpenFiles()))))
-	srv, cut := drain.Serve(l, &http.Server{
+	most := max(connectionsLeast, int(callersShare*float64(e.settings.Load().MaxOpenFiles())))
+	wrap := func(l net.Listener) net.Listener { return netutil.LimitListener(trip.Listen(l), most) }
+	srv, cut := drain.Serve(l, wrap, &http.Server{
 		Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, ConnContext: trip.Context,
 	})
 	e.cleanups = append(e.cleanups, cut)
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -379,7 +379,10 @@
 	if rq.route == nil {
 		fields = append(fields, "host", r.Host)
 	} else {
-		fields = append(fields, "route", rq.route.Name(), "budgetMs", ms(rq.hard.Sub(rq.arrived)))
+		fields = append(fields, "route", rq.route.Name())
+	}
+	if !rq.hard.IsZero() {
+		fields = append(fields, "budgetMs", ms(rq.hard.Sub(rq.arrived)))
 	}
 	e.log.Warn(partRequest, "request not answered", append(fields, no.inputs...)...)
 	http.Error(w, no.text, no.status)
--- a/internal/wire/netio/netio.go
+++ b/internal/wire/netio/netio.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	s, cut := drain.Serve(l, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader})
+	s, cut := drain.Serve(l, nil, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader})
 	stop := func(ctx context.Context) error {
 		defer cut()
 		if err := s.Drain(ctx); err != nil {
