quota, edge: divide what teams have at the start among the VMs of the core

The window is that of the start: since a fresh VM has its start level, 95 of them have it 95 times, before they have heard of each other.

Change: when a VM becomes ready, what it has at the start is divided among the core; a VM outside the core has none. What others have told stays.

TestStartOfFleet: 300 VMs would admit 300 times ten tokens before, three bursts at most now.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -13,8 +13,9 @@
 	assumeMost = 8 * time.Second
 	// demandSpan is the time over which the demand for a team is averaged.
 	demandSpan = 2 * time.Second
-	// startLevel is the share of its burst that a team has at a VM which has just started.
+	// startLevel is the share of its burst that a team has at a VM which has just started, if no more than startVMs share it.
 	startLevel = 0.4
+	startVMs   = 4
 	// settle is the time after the start in which a VM takes over what others say of a team's level.
 	settle = time.Second
 	// tightShare of the burst is little.
@@ -53,7 +54,9 @@
 // Quota is one VM's view of all teams; it is driven under its owner's lock.
 type Quota struct {
 	started time.Time
-	teams   map[ident.Team]*team
+	// part is the VM's part of what teams have at the start.
+	part  float64
+	teams map[ident.Team]*team
 }
 
 type team struct {
@@ -82,7 +85,7 @@
 
 // New returns a Quota without teams, for a VM that starts now.
 func New(now time.Time) *Quota {
-	return &Quota{started: now, teams: make(map[ident.Team]*team)}
+	return &Quota{started: now, part: 1, teams: make(map[ident.Team]*team)}
 }
 
 // SetLimits replaces the limits of all teams.
@@ -95,7 +98,7 @@
 		if t == nil {
 			level := limit.Burst
 			if q.starting(now) {
-				level *= startLevel
+				level *= startLevel * q.part
 			}
 			t = &team{limit: limit, level: level, at: now, others: make(map[ident.Process]*other)}
 			q.teams[name] = t
@@ -111,6 +114,21 @@
 	}
 }
 
+// Serve tells that the VM begins to serve as one of a number of VMs which share what teams have at the start, with 0 for a VM to
+// which no callers are sent: all VMs may have started together.
+func (q *Quota) Serve(now time.Time, vms int) {
+	q.part = 0
+	if vms > 0 {
+		q.part = min(1, startVMs/float64(vms))
+	}
+	for _, t := range q.teams {
+		t.accrue(now)
+		if !t.learnt && t.level > 0 {
+			t.level *= q.part
+		}
+	}
+}
+
 // Admit takes a request of a team, or says after which time there should be room for one.
 func (q *Quota) Admit(now time.Time, name ident.Team) (bool, time.Duration) {
 	t := q.teams[name]
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -220,6 +220,44 @@
 	}
 }
 
+// A fleet of any size starts, and callers come to each VM of it at once.
+func TestStartOfFleet(t *testing.T) {
+	for _, vms := range []int{1, 4, 9, 30, 95, 300} {
+		admitted := 0
+		for range vms {
+			q := quota.New(start)
+			q.SetLimits(start.Add(100*time.Millisecond), map[ident.Team]quota.Limit{team: limit})
+			now := start.Add(300 * time.Millisecond)
+			q.Serve(now, vms)
+			for range 100 {
+				if ok, _ := q.Admit(now, team); ok {
+					admitted++
+				}
+			}
+		}
+		if float64(admitted) > 3*limit.Burst {
+			t.Errorf("%d VMs admitted %d at once, want at most three bursts of %v", vms, admitted, limit.Burst)
+		}
+	}
+	t.Run("without callers admits none", func(t *testing.T) {
+		q := quota.New(start)
+		q.SetLimits(start, map[ident.Team]quota.Limit{team: limit})
+		q.Serve(start.Add(300*time.Millisecond), 0)
+		if ok, _ := q.Admit(start.Add(300*time.Millisecond), team); ok {
+			t.Error("admitted by a VM that shares nothing")
+		}
+	})
+	t.Run("keeps what others have told", func(t *testing.T) {
+		q := quota.New(start)
+		q.SetLimits(start, map[ident.Team]quota.Limit{team: limit})
+		q.Heard(start.Add(100*time.Millisecond), "old", map[ident.Team]quota.Report{team: {Level: 10}})
+		q.Serve(start.Add(300*time.Millisecond), 9)
+		if level := q.Level(start.Add(300*time.Millisecond), team); level < 10 {
+			t.Errorf("%v tokens are left of 10", level)
+		}
+	})
+}
+
 // All VMs restart together, twice, while a team presses; a process is started again after a moment, and listens before
 // it serves.
 func TestAllRestart(t *testing.T) {
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -208,6 +208,7 @@
 	for ctx.Err() == nil {
 		age := time.Since(e.started)
 		if e.dispatch.current() != nil && (age >= settleTime && e.revision() > 0 || age >= settlePart) {
+			e.shareStart(time.Now())
 			e.ready.Store(true)
 			e.tell(false)
 			e.log.Info(partProcess, "ready", "afterMs", ms(time.Since(e.started)), "revision", e.revision())
@@ -217,6 +218,17 @@
 	}
 }
 
+// shareStart divides what teams have at the start among the VMs that callers are sent to first.
+func (e *Edge) shareStart(now time.Time) {
+	vms := 0
+	if c := e.circle(); c.Inside() {
+		vms = c.Size()
+	}
+	e.quotaMu.Lock()
+	defer e.quotaMu.Unlock()
+	e.quota.Serve(now, vms)
+}
+
 func (e *Edge) keepHouse(ctx context.Context) {
 	for n := 1; clock.Sleep(ctx, housekeeping); n++ {
 		if fields := e.traffic.take(); fields != nil {
--- a/internal/tier/peers/circle.go
+++ b/internal/tier/peers/circle.go
@@ -42,6 +42,9 @@
 	return ok
 }
 
+// Size returns how many VMs are in the core.
+func (c Circle) Size() int { return len(c.core) }
+
 // Inside reports whether the VM that looks is in the core.
 func (c Circle) Inside() bool { return c.inside }
 
