retry: keep a part of the budget from hedges

Load pattern: half of the servers refuse two fifths of their parts while they tell an almost empty queue, and the others fill up. Ruled out: full queues. Change: hedges may use 0.6 of the budget, retries all of it.

--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -14,6 +14,22 @@
 	// a request and its retry can fall into different windows.
 	ratioFraction = 0.85
 	slackFraction = 0.8
+	// hedgeFraction is the fraction of the budget that hedges may use. The rest is kept for retries: a part that a server refused is
+	// lost without a retry, while a late part may still be answered.
+	hedgeFraction = 0.6
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Purpose -trimprefix=Purpose -transform=title-lower -output=enums.go
+
+// Purpose is what an attempt after the first one is made for.
+type Purpose int
+
+// The purposes.
+const (
+	// PurposeRetry is an attempt after all earlier ones have ended without an answer.
+	PurposeRetry Purpose = iota
+	// PurposeHedge is an attempt beside an earlier one that is late.
+	PurposeHedge
 )
 
 // Limits bound the retries and hedges of one service over the whole fleet: in each window, at most Ratio times the first attempts,
@@ -52,7 +68,7 @@
 
 // Take counts a retry or hedge and reports true if the budget allows it; otherwise it counts nothing and reports false. share is the
 // VM's fraction of the fleet's Slack, from 0 to 1.
-func (b *Budget) Take(now time.Time, s ident.Service, share float64) bool {
+func (b *Budget) Take(now time.Time, s ident.Service, share float64, p Purpose) bool {
 	r := b.ring(now, s)
 	first, retries := 0, 0
 	for i := range windowSteps {
@@ -60,6 +76,9 @@
 		retries += r.retries[i]
 	}
 	allowed := ratioFraction*b.limits.Ratio*float64(first) + slackFraction*b.limits.Slack*share
+	if p == PurposeHedge {
+		allowed *= hedgeFraction
+	}
 	if float64(retries+1) > allowed {
 		return false
 	}
--- a/internal/limit/retry/retry_test.go
+++ b/internal/limit/retry/retry_test.go
@@ -17,9 +17,13 @@
 )
 
 func take(b *retry.Budget, now time.Time, members int) int {
+	return takeFor(b, now, members, retry.PurposeRetry)
+}
+
+func takeFor(b *retry.Budget, now time.Time, members int, p retry.Purpose) int {
 	n := 0
 	for range 1000 {
-		if b.Take(now, "books", 1/float64(members)) {
+		if b.Take(now, "books", 1/float64(members), p) {
 			n++
 		}
 	}
@@ -51,6 +55,16 @@
 		}
 		assertTaken(t, take(b, start, 1000), 0, 0)
 	})
+	t.Run("keeps a part of the budget for retries when hedges press", func(t *testing.T) {
+		b := retry.New(limits)
+		for range 100 {
+			b.CountFirst(start, "books")
+		}
+		hedges := takeFor(b, start, 1, retry.PurposeHedge)
+		retries := takeFor(b, start, 1, retry.PurposeRetry)
+		assertTaken(t, retries, 15, 30)
+		assertTaken(t, hedges+retries, 50, 70)
+	})
 	t.Run("begins again when the window has passed", func(t *testing.T) {
 		b := retry.New(limits)
 		take(b, start, 1)
@@ -107,7 +121,7 @@
 			}
 			b.CountFirst(now, "books")
 			first[step]++
-			if b.Take(now, "books", 1/float64(members)) {
+			if b.Take(now, "books", 1/float64(members), retry.PurposeRetry) {
 				retries[step]++
 			}
 		}
--- a/internal/tier/gather/gather.go
+++ b/internal/tier/gather/gather.go
@@ -283,7 +283,7 @@
 	if capacity != CapacityNow {
 		return Send{}, capacity
 	}
-	if s.shards[i].mayHaveArrived() && !c.AllowRetry(now, s.spec.Shards[i]) {
+	if s.shards[i].mayHaveArrived() && !c.AllowRetry(now, s.spec.Shards[i], cause) {
 		return Send{}, CapacityNone
 	}
 	return s.addAttempt(now, i, server, cause), CapacityNow
--- a/internal/tier/gather/gather_test.go
+++ b/internal/tier/gather/gather_test.go
@@ -36,7 +36,7 @@
 	return "", gather.CapacityNone
 }
 
-func (s *fakeChooser) AllowRetry(time.Time, ident.Service) bool {
+func (s *fakeChooser) AllowRetry(time.Time, ident.Service, gather.Cause) bool {
 	s.retries--
 	return s.retries >= 0
 }
--- a/internal/tier/gather/spec.go
+++ b/internal/tier/gather/spec.go
@@ -95,8 +95,9 @@
 type Chooser interface {
 	// Choose returns a server that is not excluded, with CapacityNow, or another Capacity if there is none.
 	Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, Capacity)
-	// AllowRetry takes one retry or hedge from the retry budget of a service. It returns false if the budget is empty.
-	AllowRetry(now time.Time, service ident.Service) bool
+	// AllowRetry takes one retry or hedge, as cause says, from the retry budget of a service. It returns false if the budget does not
+	// allow it.
+	AllowRetry(now time.Time, service ident.Service, cause Cause) bool
 }
 
 // Send is an attempt that the caller must make.
