edge: read the store 30 ms after the start

Load pattern: all VMs are killed and start again together, so that nobody has a configuration to pass on, and clients come at once. Ruled out: a start without any wait: a single VM that starts again would read the store though its peers answer within milliseconds. Change: the wait is 30 ms.

--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -38,7 +38,7 @@
 	// watchTurnInterval is how often a VM that does not watch the store checks whether it should.
 	watchTurnInterval = 200 * time.Millisecond
 	// minStoreDelay is how long a new VM waits for updates from other VMs before it reads the store itself.
-	minStoreDelay = 120 * time.Millisecond
+	minStoreDelay = 30 * time.Millisecond
 	// maxStoreDelay is how long a new VM that is not among the store watchers waits for updates from other VMs before it
 	// reads the store itself.
 	maxStoreDelay = 1200 * time.Millisecond
