admit, edge: let requests wait for the first configuration of a new vm

Load pattern: all VMs are killed and start again together; clients return as soon as the listeners are open. Cause: a request that came before the first configuration was refused, and its client's only retry met another VM in the same state. Ruled out: opening the listener later: the connection would be reset and the retry used up as well.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -51,6 +52,8 @@
 	warmupLimiter warmup.Limiter
 	latencies     map[ident.Route]*timing.Estimator
 	table         *table.Table
+	// configured is closed once there is a table.
+	configured chan struct{}
 	// vms are the VMs that share the fleet-wide limits: those of the core group, which the directory lists first, and
 	// those that left it recently.
 	vms []ident.VM
@@ -63,7 +66,7 @@
 func newDispatch(s setup.Settings, rng *rand.Rand) *dispatch {
 	return &dispatch{
 		domain: s.Domain(), self: s.Name(), rng: rng, roster: roster.New(s.DrainPeriod()), latencies: make(map[ident.Route]*timing.Estimator),
-		vms:     []ident.VM{s.Name()},
+		vms: []ident.VM{s.Name()}, configured: make(chan struct{}),
 		retries: retry.New(retry.Limits{Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Window: s.RetryWindow()}),
 	}
 }
@@ -75,6 +78,31 @@
 	return d.table
 }
 
+// setTable puts a configuration into force.
+func (d *dispatch) setTable(t *table.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.table == nil {
+		close(d.configured)
+	}
+	d.table = t
+}
+
+// awaitTable returns the current configuration. If there is none yet, it waits for the first one, until the timeout or until ctx ends,
+// and returns nil if none has come.
+func (d *dispatch) awaitTable(ctx context.Context, timeout time.Duration) *table.Table {
+	if t := d.current(); t != nil {
+		return t
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	select {
+	case <-d.configured:
+	case <-ctx.Done():
+	}
+	return d.current()
+}
+
 // partLatency returns the typical latency of a route's parts and the latency beyond which a part is late.
 func (d *dispatch) partLatency(r *table.Route) (typical, late time.Duration) {
 	d.mu.Lock()
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -85,3 +86,29 @@
 		t.Errorf("skipped servers: %+v, want two as down", c.skipped)
 	}
 }
+
+// Requests that arrive while all VMs start are served once there is a configuration, instead of being refused.
+func TestAwaitTable(t *testing.T) {
+	first := table.New(table.Config{Version: 7})
+	t.Run("returns the first configuration when it comes", func(t *testing.T) {
+		d := newDispatch(setup.Settings{}, rand.New(rand.NewPCG(1, 1)))
+		go d.setTable(first)
+		if got := d.awaitTable(t.Context(), time.Minute); got != first {
+			t.Errorf("got %v, want the first configuration", got)
+		}
+		if got := d.awaitTable(t.Context(), 0); got != first {
+			t.Errorf("got %v later, want the configuration in force", got)
+		}
+	})
+	t.Run("ends at its time and with the client", func(t *testing.T) {
+		d := newDispatch(setup.Settings{}, rand.New(rand.NewPCG(1, 1)))
+		if got := d.awaitTable(t.Context(), time.Millisecond); got != nil {
+			t.Errorf("got %v, want none", got)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if got := d.awaitTable(ctx, time.Minute); got != nil {
+			t.Errorf("got %v after the client has left, want none", got)
+		}
+	})
+}
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -251,9 +251,7 @@
 	e.quotaMu.Lock()
 	e.quota.SetLimits(now, limits)
 	e.quotaMu.Unlock()
-	e.dispatch.mu.Lock()
-	e.dispatch.table = t
-	e.dispatch.mu.Unlock()
+	e.dispatch.setTable(t)
 	e.metrics.version.Set(float64(t.Version()))
 	e.log.Info(componentStore, "configuration in force", "version", t.Version(), "revision", revision, "from", from)
 }
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"kumquatreel.example/kumquatreel/internal/tier/admit"
 	"kumquatreel.example/kumquatreel/internal/tier/delay"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
@@ -38,6 +39,8 @@
 
 	// defaultBudget is the time budget of a request for which neither the client nor the route sets one.
 	defaultBudget = 10 * time.Second
+	// maxBudget bounds the time budget that a client may state.
+	maxBudget = time.Hour
 	// maxElapsedFraction is the fraction of the target latency that a client may have consumed before its request arrived
 	// for that time to be subtracted from the time left for the answer.
 	maxElapsedFraction = 0.5
@@ -114,7 +117,8 @@
 // fields of the request that are known.
 func (e *Edge) admit(r *http.Request, arrived time.Time) (*request, *refusal) {
 	rq := &request{id: r.Header.Get(e.names.RequestID), method: r.Method, arrived: arrived}
-	t := e.dispatch.current()
+	remaining, _ := e.remaining(r)
+	t := e.dispatch.awaitTable(r.Context(), admit.StartupWait(remaining))
 	if t == nil {
 		return rq, &refusal{status: http.StatusServiceUnavailable, text: "no configuration is known yet", retryAfter: startingRetryAfter}
 	}
@@ -211,12 +215,20 @@
 	return defaultRTT
 }
 
+// remaining returns the remaining time that the client states, at most maxBudget, or false if it states none.
+func (e *Edge) remaining(r *http.Request) (time.Duration, bool) {
+	n, err := strconv.ParseFloat(r.Header.Get(e.names.RemainingMs), 64)
+	if err != nil || math.IsNaN(n) || n < 0 {
+		return 0, false
+	}
+	return time.Duration(min(n*float64(time.Millisecond), float64(maxBudget))), true
+}
+
 // setDeadlines sets when the answer is due and when the request ends. The client measures both times from sending the
 // request to receiving the answer, so the round-trip time is subtracted.
 func (e *Edge) setDeadlines(rq *request, r *http.Request) {
 	budget, elapsed := defaultBudget, time.Duration(0)
-	if n, err := strconv.ParseFloat(r.Header.Get(e.names.RemainingMs), 64); err == nil && n >= 0 {
-		left := time.Duration(n * float64(time.Millisecond))
+	if left, ok := e.remaining(r); ok {
 		elapsed = e.dispatch.elapsed(rq.route, left)
 		budget = max(0, left-rq.rtt)
 	}
