edge: pass over failing servers when the retry budget runs out

Load pattern: one server of each shard refuses two fifths of its parts while its queue is empty, and both together are just enough. Change: with less than a quarter of the budget left, a server that fails more than a fifth of its requests gets none while its shard has a sound one; a part without room there waits for it, and a query that lacks too many is refused with nothing sent.

--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -69,23 +69,33 @@
 // Take counts a retry or hedge and reports true if the budget allows it; otherwise it counts nothing and reports false. share is the
 // VM's fraction of the fleet's Slack, from 0 to 1.
 func (b *Budget) Take(now time.Time, s ident.Service, share float64, p Purpose) bool {
-	r := b.ring(now, s)
-	first, retries := 0, 0
-	for i := range windowSteps {
-		first += r.first[i]
-		retries += r.retries[i]
-	}
-	allowed := ratioFraction*b.limits.Ratio*float64(first) + slackFraction*b.limits.Slack*share
+	allowed, retries := b.usage(now, s, share)
 	if p == PurposeHedge {
 		allowed *= hedgeFraction
 	}
 	if float64(retries+1) > allowed {
 		return false
 	}
+	r := b.ring(now, s)
 	r.retries[r.step%windowSteps]++
 	return true
 }
 
+// Remaining returns the fraction of the budget of a service that is not used, from 0 to 1. share is as for Take.
+func (b *Budget) Remaining(now time.Time, s ident.Service, share float64) float64 {
+	allowed, retries := b.usage(now, s, share)
+	if allowed <= 0 {
+		return 0
+	}
+	return max(0, 1-float64(retries)/allowed)
+}
+
+// usage returns how many retries the budget of a service allows in the window, and how many have been made.
+func (b *Budget) usage(now time.Time, s ident.Service, share float64) (allowed float64, retries int) {
+	first, retries := b.Counts(now, s)
+	return ratioFraction*b.limits.Ratio*float64(first) + slackFraction*b.limits.Slack*share, retries
+}
+
 // Len returns the number of services with counts, including those that Prune would remove.
 func (b *Budget) Len() int { return len(b.services) }
 
--- a/internal/limit/retry/retry_test.go
+++ b/internal/limit/retry/retry_test.go
@@ -65,6 +65,19 @@
 		assertTaken(t, retries, 15, 30)
 		assertTaken(t, hedges+retries, 50, 70)
 	})
+	t.Run("tells what remains", func(t *testing.T) {
+		b := retry.New(limits)
+		if got := b.Remaining(start, "books", 1); got != 1 {
+			t.Errorf("%v of an unused budget remain", got)
+		}
+		take(b, start, 1)
+		if got := b.Remaining(start, "books", 1); got > 0.05 {
+			t.Errorf("%v of a used budget remain", got)
+		}
+		if got := b.Remaining(start, "books", 0); got != 0 {
+			t.Errorf("%v remain without a share", got)
+		}
+	})
 	t.Run("begins again when the window has passed", func(t *testing.T) {
 		b := retry.New(limits)
 		take(b, start, 1)
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -33,6 +33,10 @@
 	// lowPriorityMaxWaitFraction applies to requests below the highest priority.
 	maxWaitFraction            = 0.7
 	lowPriorityMaxWaitFraction = 0.55
+	// A server whose requests fail more often than maxFailureRate is passed over while less than minRetryRemaining of the retry budget
+	// is left.
+	maxFailureRate    = 0.2
+	minRetryRemaining = 0.25
 	// initialLatencyFraction is the initial estimate of a part's latency, as a fraction of the route's target latency.
 	initialLatencyFraction = 0.15
 	// initialLatency is the initial estimate of a part's latency for a route without a target latency.
@@ -155,13 +159,14 @@
 
 // skipped counts the servers that were not eligible for a request, by reason.
 type skipped struct {
-	// cold servers have reached their warm-up rate, full ones have no free connection, slow ones have too long a queue, and
-	// down ones are in backoff because they did not answer or could not be reached.
-	cold, full, slow, down int
+	// cold servers have reached their warm-up rate, full ones have no free connection, slow ones have too long a queue,
+	// failing ones fail too often for the retry budget, and down ones are in backoff because they did not answer or could
+	// not be reached.
+	cold, full, slow, failing, down int
 }
 
 // atCapacity returns the number of servers that were skipped for lack of capacity.
-func (p skipped) atCapacity() int { return p.cold + p.full + p.slow }
+func (p skipped) atCapacity() int { return p.cold + p.full + p.slow + p.failing }
 
 // Choose implements gather.Chooser.
 func (c *chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, gather.Capacity) {
@@ -170,7 +175,7 @@
 	skippedBefore := c.skipped.atCapacity()
 	usable, fallback := c.roster.Candidates(now, service)
 	for _, members := range [][]*roster.Member{usable, fallback} {
-		eligible := c.eligible(now, members, exclude)
+		eligible := c.eligible(now, service, members, exclude)
 		if o, ok := c.balancer.Pick(now, eligible, c.typical, c.rng); ok {
 			return o.Server, gather.CapacityNow
 		}
@@ -208,9 +213,10 @@
 }
 
 // eligible returns the servers with capacity for a request: a cold server must be within its warm-up rate, and each server
-// must have a free connection and a queue in which the request waits for maxWait at most.
-func (c *chooser) eligible(now time.Time, members []*roster.Member, exclude []ident.Server) []place.Candidate {
+// must have a free connection and a queue in which the request waits for maxWait at most, and must not fail too often.
+func (c *chooser) eligible(now time.Time, service ident.Service, members []*roster.Member, exclude []ident.Server) []place.Candidate {
 	out := make([]place.Candidate, 0, len(members))
+	failing := c.failing(now, service, members)
 	for _, m := range members {
 		e := m.Entry()
 		o := place.Candidate{Server: e.Server, Slots: e.Slots, CrossDomain: e.Domain != c.domain, Cold: m.Cold(now)}
@@ -222,6 +228,8 @@
 			c.skipped.full++
 		case c.balancer.QueueDelay(now, o, c.typical) > c.maxWait:
 			c.skipped.slow++
+		case failing.Has(e.Server):
+			c.skipped.failing++
 		default:
 			out = append(out, o)
 		}
@@ -229,6 +237,24 @@
 	return out
 }
 
+// failing returns the servers to pass over because they fail often and too little of the retry budget is left to send their parts
+// again. It is empty if all servers fail often.
+func (c *chooser) failing(now time.Time, service ident.Service, members []*roster.Member) sets.Set[ident.Server] {
+	if c.retries.Remaining(now, service, c.limitFraction()) >= minRetryRemaining {
+		return nil
+	}
+	out := make(sets.Set[ident.Server])
+	for _, m := range members {
+		if s := m.Entry().Server; c.balancer.FailureRate(now, s) > maxFailureRate {
+			out.Add(s)
+		}
+	}
+	if len(out) == len(members) {
+		return nil
+	}
+	return out
+}
+
 // maxConnections returns how many connections this VM may open to a server of a service: an equal share of serverConnFraction
 // of the server's limit for each serving VM, but at least 1.
 func (d *dispatch) maxConnections(s ident.Service) int {
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -9,6 +9,7 @@
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/setup"
+	"kumquatreel.example/kumquatreel/internal/limit/retry"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
@@ -87,6 +88,62 @@
 	}
 }
 
+// One of two servers refuses two fifths of its parts although its queue is empty, until the retry budget is used up. From then on a
+// refused part is lost, so all parts must go to the sound server, and wait for it when it is full.
+func TestFailingServer(t *testing.T) {
+	refuse := func(d *dispatch, now time.Time, servers ...ident.Server) {
+		for _, s := range servers {
+			for range 4 {
+				d.balancer.Refused(now, d.balancer.Sent(now, s, typical), nil)
+			}
+		}
+	}
+	exhaust := func(d *dispatch) {
+		for d.retries.Take(start, "books", 1, retry.PurposeRetry) {
+		}
+	}
+	choose := func(d *dispatch, now time.Time) (ident.Server, gather.Capacity, skipped) {
+		c := &chooser{dispatch: d, typical: typical, maxWait: 3 * typical}
+		s, capacity := c.Choose(now, "books", nil)
+		return s, capacity, c.skipped
+	}
+	t.Run("gets no parts once the retry budget is used up", func(t *testing.T) {
+		d := newTestDispatch(t, "a", "b")
+		refuse(d, start, "a")
+		exhaust(d)
+		for range 5 {
+			if s, _, _ := choose(d, start); s != "b" {
+				t.Fatalf("sent to %q, want the sound server", s)
+			}
+			d.balancer.Sent(start, "b", typical)
+		}
+		for range 20 {
+			d.balancer.Sent(start, "b", typical)
+		}
+		if s, capacity, skipped := choose(d, start); capacity != gather.CapacityLater || skipped.failing != 1 {
+			t.Errorf("sent to %q, capacity %v, skipped %+v; want to wait for the sound server", s, capacity, skipped)
+		}
+	})
+	t.Run("gets parts while they can be sent again", func(t *testing.T) {
+		d := newTestDispatch(t, "a", "b")
+		refuse(d, start, "a")
+		for range 25 {
+			d.balancer.Sent(start, "b", typical)
+		}
+		if s, _, _ := choose(d, start); s != "a" {
+			t.Errorf("sent to %q, want the server with room", s)
+		}
+	})
+	t.Run("gets parts if its shard has no sound one", func(t *testing.T) {
+		d := newTestDispatch(t, "a", "b")
+		refuse(d, start, "a", "b")
+		exhaust(d)
+		if _, capacity, _ := choose(d, start); capacity != gather.CapacityNow {
+			t.Errorf("capacity %v, want a server", capacity)
+		}
+	})
+}
+
 // Requests that arrive while all VMs start are served once there is a configuration, instead of being refused.
 func TestAwaitTable(t *testing.T) {
 	first := table.New(table.Config{Version: 7})
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -318,7 +318,7 @@
 func (o outcome) details() []any {
 	return []any{
 		"sends", o.sends, "refused", o.refused, "passedCold", o.skipped.cold, "passedFull", o.skipped.full, "passedSlow", o.skipped.slow,
-		"passedDown", o.skipped.down,
+		"passedFailing", o.skipped.failing, "passedDown", o.skipped.down,
 	}
 }
 
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -159,6 +159,15 @@
 	return time.Duration(float64(typical) * st.currentLatencyRatio(now) * queueing)
 }
 
+// FailureRate returns the estimated fraction of requests that fail at a server now.
+func (b *Balancer) FailureRate(now time.Time, s ident.Server) float64 {
+	st := b.servers[s]
+	if st == nil {
+		return 0
+	}
+	return st.currentFailureRate(now)
+}
+
 // InFlight returns the number of requests that the VM has in flight to a server.
 func (b *Balancer) InFlight(s ident.Server) int {
 	st := b.servers[s]
