gather, edge: send hedges only to servers with a short queue

Load pattern: servers are slow or full across the shards, so that most parts are late and every server has a queue. Cause: a late part was hedged into a queue almost as long as the one it waited in; the hedge delayed first attempts of other queries. Change: a hedge may wait at a server 0.4 as long as a first attempt.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -30,9 +30,11 @@
 	// maxWaiters is how many requests may wait for a connection to a server.
 	maxWaiters = 1
 	// maxWaitFraction is the fraction of the time until the answer is due that a request may spend in a server's queue.
-	// lowPriorityMaxWaitFraction applies to requests below the highest priority.
+	// lowPriorityMaxWaitFraction applies to requests below the highest priority. A hedge may wait hedgeMaxWaitFraction as long as a
+	// first attempt, since in a long queue it only delays the first attempts of others.
 	maxWaitFraction            = 0.7
 	lowPriorityMaxWaitFraction = 0.55
+	hedgeMaxWaitFraction       = 0.4
 	// A server whose requests fail more often than maxFailureRate is passed over while less than minRetryRemaining of the retry budget
 	// is left.
 	maxFailureRate    = 0.2
@@ -169,13 +171,17 @@
 func (p skipped) atCapacity() int { return p.cold + p.full + p.slow + p.failing }
 
 // Choose implements gather.Chooser.
-func (c *chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, gather.Capacity) {
+func (c *chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server, cause gather.Cause) (ident.Server, gather.Capacity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maxWait := c.maxWait
+	if cause == gather.CauseLate {
+		maxWait = time.Duration(hedgeMaxWaitFraction * float64(maxWait))
+	}
 	skippedBefore := c.skipped.atCapacity()
 	usable, fallback := c.roster.Candidates(now, service)
 	for _, members := range [][]*roster.Member{usable, fallback} {
-		eligible := c.eligible(now, service, members, exclude)
+		eligible := c.eligible(now, service, members, exclude, maxWait)
 		if o, ok := c.balancer.Pick(now, eligible, c.typical, c.rng); ok {
 			return o.Server, gather.CapacityNow
 		}
@@ -214,7 +220,9 @@
 
 // eligible returns the servers with capacity for a request: a cold server must be within its warm-up rate, and each server
 // must have a free connection and a queue in which the request waits for maxWait at most, and must not fail too often.
-func (c *chooser) eligible(now time.Time, service ident.Service, members []*roster.Member, exclude []ident.Server) []place.Candidate {
+func (c *chooser) eligible(
+	now time.Time, service ident.Service, members []*roster.Member, exclude []ident.Server, maxWait time.Duration,
+) []place.Candidate {
 	out := make([]place.Candidate, 0, len(members))
 	failing := c.failing(now, service, members)
 	for _, m := range members {
@@ -226,7 +234,7 @@
 			c.skipped.cold++
 		case c.balancer.InFlight(e.Server) >= c.maxConnections(e.Service)+maxWaiters:
 			c.skipped.full++
-		case c.balancer.QueueDelay(now, o, c.typical) > c.maxWait:
+		case c.balancer.QueueDelay(now, o, c.typical) > maxWait:
 			c.skipped.slow++
 		case failing.Has(e.Server):
 			c.skipped.failing++
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -47,7 +47,7 @@
 	n := 0
 	for range requests {
 		c := &chooser{dispatch: d, typical: typical, maxWait: time.Hour}
-		if server, capacity := c.Choose(now, "books", nil); capacity == gather.CapacityNow {
+		if server, capacity := c.Choose(now, "books", nil, gather.CauseFirst); capacity == gather.CapacityNow {
 			d.begin(now, gather.Send{Service: "books", Server: server}, typical)
 			n++
 		}
@@ -80,7 +80,7 @@
 		d.balancer.Unreachable(start, d.balancer.Sent(start, server, typical))
 	}
 	c := &chooser{dispatch: d, typical: typical, maxWait: time.Second}
-	if server, capacity := c.Choose(start.Add(typical), "books", nil); capacity != gather.CapacityNone {
+	if server, capacity := c.Choose(start.Add(typical), "books", nil, gather.CauseFirst); capacity != gather.CapacityNone {
 		t.Errorf("found server %q, capacity %v; want none", server, capacity)
 	}
 	if c.skipped.down != 2 || c.skipped.atCapacity() != 0 {
@@ -104,7 +104,7 @@
 	}
 	choose := func(d *dispatch, now time.Time) (ident.Server, gather.Capacity, skipped) {
 		c := &chooser{dispatch: d, typical: typical, maxWait: 3 * typical}
-		s, capacity := c.Choose(now, "books", nil)
+		s, capacity := c.Choose(now, "books", nil, gather.CauseFirst)
 		return s, capacity, c.skipped
 	}
 	t.Run("gets no parts once the retry budget is used up", func(t *testing.T) {
@@ -144,6 +144,26 @@
 	})
 }
 
+// All servers have queues and every part is late: hedges must leave the queues to first attempts.
+func TestHedgeInQueue(t *testing.T) {
+	d := newTestDispatch(t, "a", "b")
+	// Three parts wait at each server: 1.5 to 2 times the typical latency.
+	for range 5 {
+		d.balancer.Sent(start, "a", typical)
+		d.balancer.Sent(start, "b", typical)
+	}
+	c := &chooser{dispatch: d, typical: typical, maxWait: 3 * typical}
+	if _, capacity := c.Choose(start, "books", nil, gather.CauseFirst); capacity != gather.CapacityNow {
+		t.Errorf("capacity for a first attempt is %v, want now", capacity)
+	}
+	if s, capacity := c.Choose(start, "books", []ident.Server{"a"}, gather.CauseLate); capacity == gather.CapacityNow {
+		t.Errorf("a hedge is sent to %q behind three other parts", s)
+	}
+	if _, capacity := c.Choose(start.Add(typical), "books", []ident.Server{"a"}, gather.CauseEnded); capacity != gather.CapacityNow {
+		t.Errorf("capacity for a retry is %v, want now", capacity)
+	}
+}
+
 // Requests that arrive while all VMs start are served once there is a configuration, instead of being refused.
 func TestAwaitTable(t *testing.T) {
 	first := table.New(table.Config{Version: 7})
--- a/internal/tier/gather/gather.go
+++ b/internal/tier/gather/gather.go
@@ -279,7 +279,7 @@
 // resend chooses a server for a further attempt at a part. An attempt counts against the retry budget only if an earlier one reached a
 // server or may have reached one.
 func (s *State) resend(now time.Time, i int, c Chooser, exclude []ident.Server, cause Cause) (Send, Capacity) {
-	server, capacity := c.Choose(now, s.spec.Shards[i], exclude)
+	server, capacity := c.Choose(now, s.spec.Shards[i], exclude, cause)
 	if capacity != CapacityNow {
 		return Send{}, capacity
 	}
@@ -290,7 +290,7 @@
 }
 
 func (s *State) sendFirst(now time.Time, i int, c Chooser) (Send, Capacity) {
-	server, capacity := c.Choose(now, s.spec.Shards[i], nil)
+	server, capacity := c.Choose(now, s.spec.Shards[i], nil, CauseFirst)
 	if capacity != CapacityNow {
 		return Send{}, capacity
 	}
--- a/internal/tier/gather/gather_test.go
+++ b/internal/tier/gather/gather_test.go
@@ -20,7 +20,7 @@
 	noServer, noCapacity []ident.Service
 }
 
-func (s *fakeChooser) Choose(_ time.Time, service ident.Service, exclude []ident.Server) (ident.Server, gather.Capacity) {
+func (s *fakeChooser) Choose(_ time.Time, service ident.Service, exclude []ident.Server, _ gather.Cause) (ident.Server, gather.Capacity) {
 	if slices.Contains(s.noServer, service) {
 		return "", gather.CapacityNone
 	}
--- a/internal/tier/gather/spec.go
+++ b/internal/tier/gather/spec.go
@@ -93,8 +93,9 @@
 
 // Chooser selects servers and keeps the retry budgets.
 type Chooser interface {
-	// Choose returns a server that is not excluded, with CapacityNow, or another Capacity if there is none.
-	Choose(now time.Time, service ident.Service, exclude []ident.Server) (ident.Server, Capacity)
+	// Choose returns a server that is not excluded, with CapacityNow, or another Capacity if there is none. A hedge may only go to a
+	// server with a short queue.
+	Choose(now time.Time, service ident.Service, exclude []ident.Server, cause Cause) (ident.Server, Capacity)
 	// AllowRetry takes one retry or hedge, as cause says, from the retry budget of a service. It returns false if the budget does not
 	// allow it.
 	AllowRetry(now time.Time, service ident.Service, cause Cause) bool
