place: let a failed attempt cost the time in which the answer is due

Load pattern: urgent and patient kinds share servers of which some lose or refuse answers. Cause: the cost of a failure was a constant of 150 ms, between the due times of this deployment's kinds; a look-up that must not run twice and has 590 ms lost its only attempt to servers that others would leave. Change: the cost is the time in which the request's answer is due. Kept since it takes a figure of a deployment out of the code.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -151,6 +151,8 @@
 	*dispatch
 	// typical is the typical latency of a part.
 	typical time.Duration
+	// failureCost is the time that a failed attempt costs: the time in which the answer is due.
+	failureCost time.Duration
 	// maxWait is the longest wait in a server's queue with which the answer can still be in time.
 	maxWait time.Duration
 	// skipped counts the servers that were skipped for the request, by reason.
@@ -182,7 +184,7 @@
 	usable, fallback := c.roster.Candidates(now, service)
 	for _, members := range [][]*roster.Member{usable, fallback} {
 		eligible := c.eligible(now, service, members, exclude, maxWait)
-		if o, ok := c.balancer.Pick(now, eligible, c.typical, c.rng); ok {
+		if o, ok := c.balancer.Pick(now, eligible, c.typical, c.failureCost, c.rng); ok {
 			return o.Server, gather.CapacityNow
 		}
 		c.skipped.down += len(eligible)
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -88,7 +88,7 @@
 	j := &job{
 		edge: e, rq: rq, state: gather.New(spec), typical: typical, late: late,
 		chooser: &chooser{
-			dispatch: e.dispatch, typical: typical, maxWait: maxWait,
+			dispatch: e.dispatch, typical: typical, failureCost: rq.soft.Sub(rq.arrived), maxWait: maxWait,
 			onRetryDenied: func(s ident.Service, firsts, retries int, fraction float64) {
 				e.log.Info(componentRequest, "second attempt denied by the retry budget", "id", rq.id, "service", s,
 					"first", firsts, "repeats", retries, "part", fraction)
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -20,8 +20,6 @@
 	failureWeight = 0.25
 	// failureHalfLife is the half-life of the failure rate of a server that receives no requests.
 	failureHalfLife = 3 * time.Second
-	// failurePenalty times the failure rate is added to the cost of a server.
-	failurePenalty = 150 * time.Millisecond
 	// loadHalfLife is the half-life of the queue length that a server reported. After four half-lives the report is ignored.
 	loadHalfLife = 50 * time.Millisecond
 	// An answer is overdue after overdueFactor times the server's typical latency, but not before minOverdue.
@@ -95,11 +93,11 @@
 // Pick returns the candidate with the lowest cost, or false if none may be tried now. If all candidates are backing off, it returns
 // one that is due for a probe.
 //
-// Typical is the typical latency of this kind of request.
-func (b *Balancer) Pick(now time.Time, candidates []Candidate, typical time.Duration, rng *rand.Rand) (Candidate, bool) {
+// Typical is the typical latency of this kind of request, failureCost the time that a failed attempt costs.
+func (b *Balancer) Pick(now time.Time, candidates []Candidate, typical, failureCost time.Duration, rng *rand.Rand) (Candidate, bool) {
 	best, cost := Candidate{}, time.Duration(math.MaxInt64)
 	for _, cand := range candidates {
-		c, ok := b.Cost(now, cand, typical)
+		c, ok := b.Cost(now, cand, typical, failureCost)
 		if !ok {
 			continue
 		}
@@ -132,7 +130,7 @@
 
 // Cost returns the expected latency of a request sent now, with the penalties for failures, overdue answers and cross-domain traffic,
 // or false while the server is backing off.
-func (b *Balancer) Cost(now time.Time, cand Candidate, typical time.Duration) (time.Duration, bool) {
+func (b *Balancer) Cost(now time.Time, cand Candidate, typical, failureCost time.Duration) (time.Duration, bool) {
 	st := b.servers[cand.Server]
 	if st == nil {
 		return b.applyPenalties(typical, cand), true
@@ -145,7 +143,7 @@
 	if st.overdue(now) {
 		cost += overduePenalty
 	}
-	cost += time.Duration(st.currentFailureRate(now) * float64(failurePenalty))
+	cost += time.Duration(st.currentFailureRate(now) * float64(failureCost))
 	return cost, true
 }
 
--- a/internal/tier/place/place_test.go
+++ b/internal/tier/place/place_test.go
@@ -10,7 +10,10 @@
 	"kumquatreel.example/kumquatreel/internal/tier/place"
 )
 
-const typical = 10 * time.Millisecond
+const (
+	typical     = 10 * time.Millisecond
+	failureCost = 15 * typical
+)
 
 var start = time.Unix(1000, 0)
 
@@ -24,7 +27,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	n := 0
 	for range 1000 {
-		if o, ok := b.Pick(now, candidates, typical, rng); ok && o.Server == "a" {
+		if o, ok := b.Pick(now, candidates, typical, failureCost, rng); ok && o.Server == "a" {
 			n++
 		}
 	}
@@ -80,13 +83,13 @@
 		}
 		rng := rand.New(rand.NewPCG(1, 1))
 		for range pair() {
-			o, ok := b.Pick(start, pair(), typical, rng)
+			o, ok := b.Pick(start, pair(), typical, failureCost, rng)
 			if !ok {
 				t.Fatal("picked none, though no request is in flight")
 			}
 			b.Sent(start, o.Server, typical)
 		}
-		if o, ok := b.Pick(start, pair(), typical, rng); ok {
+		if o, ok := b.Pick(start, pair(), typical, failureCost, rng); ok {
 			t.Errorf("picked %s, though both are being probed", o.Server)
 		}
 	})
@@ -110,7 +113,7 @@
 		if b.Overdue(start.Add(100*time.Millisecond), "a") {
 			t.Error("overdue after the answer")
 		}
-		cost, _ := b.Cost(start.Add(100*time.Millisecond), pair()[0], typical)
+		cost, _ := b.Cost(start.Add(100*time.Millisecond), pair()[0], typical, failureCost)
 		if cost > 2*typical {
 			t.Errorf("expected latency is %v after one pause, want at most %v", cost, 2*typical)
 		}
@@ -150,7 +153,7 @@
 	probes := 0
 	for at := time.Duration(0); at < 2*time.Second; at += time.Millisecond {
 		now := start.Add(at)
-		if o, ok := b.Pick(now, pair(), typical, rng); ok {
+		if o, ok := b.Pick(now, pair(), typical, failureCost, rng); ok {
 			probes++
 			b.Unreachable(now, b.Sent(now, o.Server, typical))
 		}
@@ -168,6 +171,18 @@
 		}
 		assertPicks(t, b, start, pair(), 0, 0)
 	})
+	t.Run("count more for requests whose failure costs more", func(t *testing.T) {
+		b := &place.Balancer{}
+		b.Failed(start, b.Sent(start, "a", typical))
+		for range 5 {
+			b.Sent(start, "b", typical)
+		}
+		quick, _ := b.Pick(start, pair(), typical, typical, rand.New(rand.NewPCG(1, 1)))
+		unsafe, _ := b.Pick(start, pair(), typical, 60*typical, rand.New(rand.NewPCG(1, 1)))
+		if quick.Server != "a" || unsafe.Server != "b" {
+			t.Errorf("picked %s and %s, want the failing server only for the request whose failure costs little", quick.Server, unsafe.Server)
+		}
+	})
 	t.Run("are forgotten when it has had nothing to do", func(t *testing.T) {
 		b := &place.Balancer{}
 		b.Failed(start, b.Sent(start, "a", typical))
