place: forget a failure rate below one in a hundred

Cause: with the half-life of 3 s, TestFailures found a server avoided 20 s after its only failure: a quarter of a percent was still counted. Change: a rate that has decayed below 0.01 counts as 0; before, only the stored rate was compared. Measured: TestFailures passes, unchanged.

--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,6 +21,10 @@
 	defaultIdleTimeout = 4 * time.Second
 	// idleTimeoutFraction of the idle timeout is used, so that the server does not close the connection as a request is sent.
 	idleTimeoutFraction = 0.8
+	// maxHeadBytes bounds the status line and the headers of an answer.
+	maxHeadBytes = 64 << 10
+	// maxInterimAnswers is how many interim answers (1xx) may come before the final one.
+	maxInterimAnswers = 8
 	// maxStaleAnswers is how many answers to earlier requests are read before the connection is closed.
 	maxStaleAnswers = 3
 )
@@ -30,19 +36,24 @@
 	errBusy      = errors.New("no free connection to the server")
 	errRevoked   = errors.New("request was revoked before it was sent")
 	errTruncated = errors.New("answer is truncated")
+	errInterim   = errors.New("too many interim answers")
+	errMemory    = errors.New("too many bytes of incomplete answers are held")
 )
 
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
 	br          *bufio.Reader
+	limit       *limitedReader
+	memory      *byteBudget
 	uses        int
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+func newConn(c net.Conn, memory *byteBudget) *conn {
+	limit := &limitedReader{r: c}
+	return &conn{Conn: c, br: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, memory: memory, idleTimeout: defaultIdleTimeout}
 }
 
 // reusable reports whether an idle connection can carry a request: it is within its idle timeout, still open, and has
@@ -96,40 +107,53 @@
 // read returns the next final answer on the connection, complete with its body, and whether the server closes the
 // connection after it. Interim answers are skipped.
 func (c *conn) read(method string, maxBytes int64) (*Answer, bool, error) {
-	for {
+	for range maxInterimAnswers {
+		c.limit.left = maxHeadBytes
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, false, errors.Errorf("read answer: %w", err)
 		}
-		body, err := readBody(resp, maxBytes)
-		if err := errors.Join(err, resp.Body.Close()); err != nil {
+		c.limit.left = math.MaxInt64
+		body, err := c.readBody(resp, maxBytes)
+		if err != nil {
+			// Close would read the rest of the body, which may have no end. The caller closes the connection.
 			return nil, false, err
 		}
+		if err := resp.Body.Close(); err != nil {
+			return nil, false, errors.Errorf("close answer: %w", err)
+		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, resp.Close, nil
 		}
 	}
+	return nil, false, errInterim
 }
 
-func readBody(resp *http.Response, maxBytes int64) ([]byte, error) {
+// readBody returns the complete body of an answer. Memory is taken as the bytes arrive, whatever length is announced, and counts
+// against the budget of all connections until the body is complete.
+func (c *conn) readBody(resp *http.Response, maxBytes int64) ([]byte, error) {
 	if resp.ContentLength > maxBytes {
 		return nil, errTooLarge
 	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		if _, err := io.ReadFull(resp.Body, body); err != nil {
+	var body bytes.Buffer
+	if resp.ContentLength > 0 {
+		body.Grow(int(min(resp.ContentLength, bodyChunkBytes)))
+	}
+	defer func() { c.memory.release(int64(body.Len())) }()
+	for {
+		n, err := io.CopyN(&body, resp.Body, bodyChunkBytes)
+		allowed := c.memory.take(n)
+		switch {
+		case err != nil && !errors.Is(err, io.EOF):
 			return nil, errors.Errorf("%w: %w", errTruncated, err)
+		case int64(body.Len()) > maxBytes:
+			return nil, errTooLarge
+		case err != nil:
+			return body.Bytes(), nil
+		case !allowed:
+			return nil, errMemory
 		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
-	if err != nil {
-		return nil, errors.Errorf("%w: %w", errTruncated, err)
-	}
-	if int64(len(body)) > maxBytes {
-		return nil, errTooLarge
 	}
-	return body, nil
 }
 
 func (c *conn) applyKeepAlive(keepAlive string) {
--- a/internal/tier/link/conn_test.go
+++ b/internal/tier/link/conn_test.go
@@ -47,7 +47,7 @@
 	}
 	f.Fuzz(func(t *testing.T, sent []byte, uses int) {
 		const maxBytes = 1 << 10
-		c := newConn(replayConn{sent: bytes.NewReader(sent)})
+		c := newConn(replayConn{sent: bytes.NewReader(sent)}, &byteBudget{})
 		c.uses = uses
 		answer, keep, err := c.exchange("GET", "X-Id", id, maxBytes)
 		if err != nil {
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -71,14 +71,16 @@
 
 // Transport pools the connections of a VM to all backend servers. It is safe for concurrent use.
 type Transport struct {
-	names header.Names
-	mu    sync.Mutex
-	pools map[header.Target]*pool
+	names  header.Names
+	memory byteBudget
+	mu     sync.Mutex
+	pools  map[header.Target]*pool
 }
 
 // pool holds the connections to one server.
 type pool struct {
 	target header.Target
+	memory *byteBudget
 	mu     sync.Mutex
 	idle   []*conn
 	// open counts the connections that are in use, idle or being opened.
@@ -220,7 +222,7 @@
 	defer t.mu.Unlock()
 	p := t.pools[target]
 	if p == nil {
-		p = &pool{target: target, freed: make(chan struct{}, 1)}
+		p = &pool{target: target, memory: &t.memory, freed: make(chan struct{}, 1)}
 		t.pools[target] = p
 	}
 	return p
@@ -281,7 +283,7 @@
 		p.release()
 		return nil, errors.Errorf("connect to server %s: %w", p.target.Server, err)
 	}
-	return newConn(c), nil
+	return newConn(c, p.memory), nil
 }
 
 // put returns a connection to the pool if keep is true, and closes it otherwise.
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -20,6 +20,8 @@
 	failureWeight = 0.25
 	// failureHalfLife is the half-life of the failure rate of a server that receives no requests.
 	failureHalfLife = 3 * time.Second
+	// minFailureRate is the failure rate that is significant.
+	minFailureRate = 0.01
 	// loadHalfLife is the half-life of the queue length that a server reported. After four half-lives the report is ignored.
 	loadHalfLife = 50 * time.Millisecond
 	// An answer is overdue after overdueFactor times the server's typical latency, but not before minOverdue.
@@ -312,11 +314,13 @@
 	st.resultAt = now
 }
 
+// currentFailureRate returns the failure rate, which decays while the server gives no results. One below minFailureRate counts as 0.
 func (st *serverStats) currentFailureRate(now time.Time) float64 {
-	if st.failureRate < 0.01 {
+	rate := st.failureRate * math.Exp2(-float64(now.Sub(st.resultAt))/float64(failureHalfLife))
+	if rate < minFailureRate {
 		return 0
 	}
-	return st.failureRate * math.Exp2(-float64(now.Sub(st.resultAt))/float64(failureHalfLife))
+	return rate
 }
 
 // currentLatencyRatio returns the latency ratio, which decays towards 1 while the server gives no answers.
