--- a/internal/tier/link/budget.go
+++ b/internal/tier/link/budget.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// bodyChunkBytes is the size of the pieces in which a body is read.
-	bodyChunkBytes = 64 << 10
+	// minPieceBytes and maxPieceBytes bound the pieces in which a body is read.
+	minPieceBytes = 4 << 10
+	maxPieceBytes = 64 << 10
 	// maxIncompleteBytes bounds the bytes of incomplete bodies on all connections.
 	maxIncompleteBytes = 24 << 20
 )
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -135,25 +135,48 @@
 	if resp.ContentLength > maxBytes {
 		return nil, errTooLarge
 	}
-	var body bytes.Buffer
-	if resp.ContentLength > 0 {
-		body.Grow(int(min(resp.ContentLength, bodyChunkBytes)))
+	var pieces [][]byte
+	total := int64(0)
+	defer func() { c.memory.release(total) }()
+	size := int64(minPieceBytes)
+	if resp.ContentLength >= 0 {
+		size = min(resp.ContentLength, maxPieceBytes)
 	}
-	defer func() { c.memory.release(int64(body.Len())) }()
 	for {
-		n, err := io.CopyN(&body, resp.Body, bodyChunkBytes)
-		allowed := c.memory.take(n)
+		piece := make([]byte, size)
+		n, err := fill(resp.Body, piece)
+		pieces = append(pieces, piece[:n])
+		total += int64(n)
+		allowed := c.memory.take(int64(n))
 		switch {
-		case err != nil && !errors.Is(err, io.EOF):
-			return nil, errors.Errorf("%w: %w", errTruncated, err)
-		case int64(body.Len()) > maxBytes:
+		case total > maxBytes:
 			return nil, errTooLarge
+		case errors.Is(err, io.EOF) || err == nil && total == resp.ContentLength:
+			return join(pieces), nil
 		case err != nil:
-			return body.Bytes(), nil
+			return nil, errors.Errorf("%w: %w", errTruncated, err)
 		case !allowed:
 			return nil, errMemory
 		}
+		size = min(2*size, maxPieceBytes)
+	}
+}
+
+// fill reads until p is full. Unlike io.ReadFull, it returns the reader's own error, which tells an end from a truncation.
+func fill(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		m, err = r.Read(p[n:])
+		n += m
+	}
+	return n, err
+}
+
+func join(pieces [][]byte) []byte {
+	if len(pieces) == 1 {
+		return pieces[0]
 	}
+	return slices.Concat(pieces...)
 }
 
 func (c *conn) applyKeepAlive(keepAlive string) {
