link, edge: a panic costs one call, and two waiters get two connections

Cause: attempts run in goroutines of their own, where a panic ends the process and with it all requests; TestPanicInAttempt did just that. Ruled out: a recover around the heartbeat and store loops: a panic there may hold a lock, and going on would be worse than a restart. Change: a panic in a call counts as a lost answer of that call and is logged with its stack; a call that gets a connection wakes the next if there is another; a returned connection of a closed pool is no longer counted. Heads of clients are bounded by 64 KB instead of 1 MB.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -44,6 +44,8 @@
 	// clientConnFraction is the fraction of the file descriptors that connections to one listener may use. Further
 	// connections wait to be accepted.
 	clientConnFraction = 0.4
+	// maxHeadBytes bounds the request line and the headers of a request. Clients stay within published limits, which are lower.
+	maxHeadBytes = 64 << 10
 	// minConnections is the lower bound of the connection limit of a listener.
 	minConnections = 64
 	// minReadyDelay is how long a new VM receives heartbeats before it becomes ready.
@@ -193,7 +195,7 @@
 	maxConns := max(minConnections, int(clientConnFraction*float64(e.settings.Load().MaxOpenFiles())))
 	wrap := func(l net.Listener) net.Listener { return netutil.LimitListener(delay.NewListener(l), maxConns) }
 	srv, closeServer := drain.Serve(l, wrap, &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: delay.ConnContext,
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes, ConnContext: delay.ConnContext,
 	})
 	e.cleanups = append(e.cleanups, closeServer)
 	go func() {
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
@@ -149,6 +152,8 @@
 	}
 }
 
+var errPanic = errors.New("panic in a call to a server")
+
 // resultsPerPart is the buffer size for the results of one part. Package gather makes fewer attempts per part.
 const resultsPerPart = 8
 
@@ -220,7 +225,7 @@
 		j.results <- attemptResult{s, link.Result{Verdict: gather.VerdictUnsent}}
 		return
 	}
-	res := e.links.Do(j.attemptsCtx, link.Call{
+	res := e.exchange(j.attemptsCtx, link.Call{
 		Target: target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
 		Deadline: j.expires(), MaxConnections: connections, Permit: permit,
 	})
@@ -234,6 +239,18 @@
 	j.results <- attemptResult{s, res}
 }
 
+// exchange makes a call. A panic ends only this call, whose request may then have run.
+func (e *Edge) exchange(ctx context.Context, c link.Call) (res link.Result) {
+	defer func() {
+		if p := recover(); p != nil {
+			e.log.Error(componentRequest, "panic in a call to a server", "id", c.RequestID, "server", c.Target.Server, "panic", p,
+				"stack", string(debug.Stack()))
+			res = link.Result{Verdict: gather.VerdictLost, Err: errPanic}
+		}
+	}()
+	return e.links.Do(ctx, c)
+}
+
 // expires returns the deadline of an attempt. It is earlier than the end of the request if the answer consists of several
 // parts, because a part that arrives long after the answer is due is not used.
 func (j *job) expires() time.Time {
--- a/internal/tier/edge/request_test.go
+++ b/internal/tier/edge/request_test.go
@@ -172,3 +172,16 @@
 		t.Errorf("%d of %d parts arrive before they are stopped, want all", answered, shards)
 	}
 }
+
+// A panic while a part is sent must cost that part alone: the request ends, counts as possibly run, and the process goes on.
+func TestPanicInAttempt(t *testing.T) {
+	e, rq := newTestEdge(t, closedAddress(t))
+	e.links = nil
+	out := e.run(context.Background(), rq)
+	if out.enough || !out.ran {
+		t.Errorf("enough %v, ran %v; want a request that failed and may have run", out.enough, out.ran)
+	}
+	if n := e.dispatch.balancer.InFlight("a-1"); n != 0 {
+		t.Errorf("%d requests count as in flight after the panic", n)
+	}
+}
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -236,6 +236,9 @@
 	deadline := time.Now().Add(maxConnWait)
 	for {
 		cn, mayDial := p.take(time.Now(), maxOpen)
+		if cn != nil || mayDial {
+			p.wakeNext(maxOpen)
+		}
 		if cn != nil {
 			return cn, false, nil
 		}
@@ -297,7 +300,9 @@
 	cn.idleSince = time.Now()
 	p.mu.Lock()
 	closed := p.closed
-	if !closed {
+	if closed {
+		p.open--
+	} else {
 		p.idle = append(p.idle, cn)
 	}
 	p.mu.Unlock()
@@ -314,6 +319,16 @@
 	p.signalFreed()
 }
 
+// wakeNext wakes another waiting call if there is a connection for it too: two that become free at once make only one signal.
+func (p *pool) wakeNext(maxOpen int) {
+	p.mu.Lock()
+	free := len(p.idle) > 0 || p.open < max(1, maxOpen)
+	p.mu.Unlock()
+	if free {
+		p.signalFreed()
+	}
+}
+
 func (p *pool) signalFreed() {
 	select {
 	case p.freed <- struct{}{}:
