admit: move the delay of retries out of the i/o code

Change: admit.RetryAfter decides it from the remaining time and a random number, with the load pattern and a test of the spread. Nothing else changes.

--- a/internal/tier/admit/admit.go
+++ b/internal/tier/admit/admit.go
@@ -23,3 +23,22 @@
 	}
 	return min(maxStartupWait, time.Duration(startupFraction*float64(remaining)))
 }
+
+const (
+	// A client whose request found no capacity should retry after a random fraction of its remaining time between these.
+	minRetryFraction = 0.125
+	maxRetryFraction = 0.375
+	// MinRetryAfter and MaxRetryAfter bound the delay after which a client should retry.
+	MinRetryAfter = 20 * time.Millisecond
+	MaxRetryAfter = 2 * time.Second
+)
+
+// RetryAfter returns the delay after which a client should retry a request for which no server has capacity. remaining is the time
+// until the request's deadline and random a number in [0,1).
+//
+// Load pattern: servers pause or fill up for a fraction of a second and many clients are refused together. They return spread over
+// time, and early enough to be answered within their remaining time.
+func RetryAfter(remaining time.Duration, random float64) time.Duration {
+	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*random
+	return min(max(MinRetryAfter, time.Duration(fraction*float64(remaining))), MaxRetryAfter)
+}
--- a/internal/tier/admit/admit_test.go
+++ b/internal/tier/admit/admit_test.go
@@ -1,6 +1,7 @@
 package admit_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -22,3 +23,22 @@
 	}
 	assertBetween(t, "wait without a stated time", admit.StartupWait(0), 50*time.Millisecond, time.Second)
 }
+
+// 50 clients are refused in the same instant: they must come back spread over time, each within a third or so of what it has left.
+func TestRetryAfter(t *testing.T) {
+	const clients, remaining = 50, 800 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 1))
+	perSlice := make(map[time.Duration]int)
+	for range clients {
+		d := admit.RetryAfter(remaining, rng.Float64())
+		assertBetween(t, "delay", d, admit.MinRetryAfter, remaining*2/5)
+		perSlice[d/(20*time.Millisecond)]++
+	}
+	for slice, n := range perSlice {
+		if n > clients/4 {
+			t.Errorf("%d of %d clients return within 20 ms of %v", n, clients, slice*20*time.Millisecond)
+		}
+	}
+	assertBetween(t, "delay of a client without time", admit.RetryAfter(0, 0.5), admit.MinRetryAfter, admit.MinRetryAfter)
+	assertBetween(t, "delay of a patient client", admit.RetryAfter(time.Minute, 0.5), admit.MinRetryAfter, admit.MaxRetryAfter)
+}
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -44,9 +44,6 @@
 	// maxElapsedFraction is the fraction of the target latency that a client may have consumed before its request arrived
 	// for that time to be subtracted from the time left for the answer.
 	maxElapsedFraction = 0.5
-	// minRetryAfter and maxRetryAfter bound the delay in a Retry-After header.
-	minRetryAfter = 20 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
 	// startingRetryAfter is the Retry-After delay sent by a VM without a configuration.
 	startingRetryAfter = 200 * time.Millisecond
 	// writeTimeout is how long after its deadline a request's answer may still be written to a slow client.
@@ -144,7 +141,7 @@
 	rq.rtt = clientRTT(r)
 	e.setDeadlines(rq, r)
 	if !time.Now().Before(rq.hard) {
-		return rq, &refusal{status: http.StatusServiceUnavailable, text: "no time is left", retryAfter: minRetryAfter}
+		return rq, &refusal{status: http.StatusServiceUnavailable, text: "no time is left", retryAfter: admit.MinRetryAfter}
 	}
 	if team != nil {
 		if rejected := e.admitTeam(team); rejected != nil {
@@ -199,7 +196,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return nil, &refusal{status: http.StatusRequestTimeout, text: "the body did not arrive", retryAfter: minRetryAfter}
+		return nil, &refusal{status: http.StatusRequestTimeout, text: "the body did not arrive", retryAfter: admit.MinRetryAfter}
 	}
 	if int64(len(body)) > limit {
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
@@ -302,8 +299,7 @@
 		missing = ", missing " + strconv.Itoa(n) + " parts, one of them " + string(out.missing[0])
 	}
 	if !out.ran {
-		// The delay is random, so that clients that are refused together do not retry together.
-		retryAfter := min(max(minRetryAfter, time.Duration(float64(time.Until(rq.hard))*(0.5+e.dispatch.random())/4)), maxRetryAfter)
+		retryAfter := admit.RetryAfter(time.Until(rq.hard), e.dispatch.random())
 		return refusal{
 			status: http.StatusServiceUnavailable, text: "no server has room" + missing, retryAfter: retryAfter, details: out.details(),
 		}
