place, surge: choose servers without i/o, and replay loads on a model

Cause: which servers may get a part, and how long it may wait there, was decided under the lock of the dispatcher, so no model could ask for it; the model of the lab knows only the path through owners. Change: place.Choose and place.MaxWait decide it, each with its load pattern; package surge simulates VMs, servers with slots, queues and pauses, and clients that return, with gather, place, retry, timing and admit as they are; kumquatlab measure surge compares loads.

--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -42,6 +42,7 @@
 	"cold":     measureColdStart,
 	"cost":     measureCost,
 	"control":  measureControlTraffic,
+	"surge":    measureSurge,
 }
 
 // Names returns the names of the measures in alphabetical order.
--- /dev/null
+++ b/internal/lab/surge/doc.go
@@ -0,0 +1,6 @@
+// Package surge simulates, in virtual time, VMs that send queries of several kinds directly to the backend servers of many shards.
+//
+// The decisions are those of the product: package gather controls each request, place chooses servers, retry keeps the retry budgets,
+// timing estimates latencies and admit tells refused clients when to return. Servers have slots, a queue and periodic pauses; they can
+// be slow, silent or refuse a fraction of their requests. Package bench compares loads and faults with it, and tests replay them.
+package surge
--- /dev/null
+++ b/internal/lab/surge/server.go
@@ -0,0 +1,104 @@
+package surge
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/gather"
+	"kumquatreel.example/kumquatreel/internal/tier/header"
+)
+
+// Server is a simulated backend server. Its fields may be changed while the simulation runs.
+type Server struct {
+	// RefuseFraction is the fraction of requests that it refuses whatever its load.
+	RefuseFraction float64
+	// SlowFactor is the factor by which its work takes longer; 0 counts as 1.
+	SlowFactor float64
+	// Dark is set while it does not answer.
+	Dark bool
+
+	name    ident.Server
+	sim     *Simulation
+	rng     *rand.Rand
+	phase   time.Duration
+	running int
+	queue   []*call
+	work    time.Duration
+}
+
+// call is an attempt at a server.
+type call struct {
+	work     time.Duration
+	deadline time.Duration
+	reply    func(v gather.Verdict, load *header.Load)
+}
+
+// arrive starts, queues or refuses a call.
+func (s *Server) arrive(c *call) {
+	switch {
+	case s.Dark:
+		s.sim.After(c.deadline-s.sim.Now(), func() { c.reply(gather.VerdictLost, nil) })
+	case s.rng.Float64() < s.RefuseFraction, s.running >= s.sim.params.Slots && len(s.queue) >= s.sim.params.Queue:
+		s.sim.result.Rejected++
+		c.reply(gather.VerdictRefused, s.load())
+	case s.running >= s.sim.params.Slots:
+		s.queue = append(s.queue, c)
+	default:
+		s.start(c)
+	}
+}
+
+func (s *Server) start(c *call) {
+	s.running++
+	factor := math.Exp(workSigma*s.rng.NormFloat64() - workSigma*workSigma/2)
+	if s.rng.Float64() < stragglerFraction {
+		factor *= stragglerFactor
+	}
+	work := time.Duration(factor * max(1, s.SlowFactor) * float64(c.work))
+	s.work += work
+	s.sim.After(s.finish(work)-s.sim.Now(), func() { s.end(c) })
+}
+
+// finish returns when work that starts now ends, with the server's pauses.
+func (s *Server) finish(work time.Duration) time.Duration {
+	at, every, pause := s.sim.Now(), s.sim.params.PauseEvery, s.sim.params.Pause
+	if every <= 0 {
+		return at + work
+	}
+	for {
+		offset := (at + s.phase) % every
+		if offset < pause {
+			at += pause - offset
+			offset = pause
+		}
+		if work <= every-offset {
+			return at + work
+		}
+		work -= every - offset
+		at += every - offset
+	}
+}
+
+func (s *Server) end(c *call) {
+	s.running--
+	for len(s.queue) > 0 && s.running < s.sim.params.Slots {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		if next.deadline <= s.sim.Now() {
+			next.reply(gather.VerdictRefused, s.load())
+			continue
+		}
+		s.start(next)
+	}
+	if c.deadline < s.sim.Now() {
+		c.reply(gather.VerdictLost, nil)
+		return
+	}
+	c.reply(gather.VerdictAnswered, s.load())
+}
+
+func (s *Server) load() *header.Load {
+	return &header.Load{Running: s.running, Waiting: len(s.queue), Slots: s.sim.params.Slots}
+}
--- /dev/null
+++ b/internal/lab/surge/surge_test.go
@@ -0,0 +1,104 @@
+package surge_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/lab/surge"
+)
+
+const span = 20 * time.Second
+
+func run(load float64, seed uint64, disturb func(*surge.Simulation, surge.Params)) surge.Result {
+	p := surge.MixedKinds(seed)
+	p.Load = load
+	sim := surge.New(p)
+	if disturb != nil {
+		disturb(sim, p)
+	}
+	return sim.RunLoad(span)
+}
+
+// refuseTwoFifths makes the first server of each shard refuse two fifths of its parts.
+func refuseTwoFifths(sim *surge.Simulation, p surge.Params) {
+	for shard := range p.Shards {
+		sim.Server(shard, 0).RefuseFraction = 0.4
+	}
+}
+
+// assertAllEnded checks that each request has exactly one outcome.
+func assertAllEnded(t *testing.T, r surge.Result) {
+	t.Helper()
+	for i, k := range r.Kinds {
+		if ended := k.InTime + k.Late + k.Refused + k.Failed; ended != k.Asked {
+			t.Errorf("kind %d: %d outcomes of %d requests", i, ended, k.Asked)
+		}
+	}
+}
+
+// assertUnserved checks the fraction of requests without an answer, over all kinds.
+func assertUnserved(t *testing.T, r surge.Result, maxFraction float64) {
+	t.Helper()
+	asked, unserved := 0, 0
+	for _, k := range r.Kinds {
+		asked += k.Asked
+		unserved += k.Refused + k.Failed
+	}
+	if float64(unserved) > maxFraction*float64(asked) {
+		t.Errorf("%d of %d requests were not answered, want at most %v", unserved, asked, maxFraction)
+	}
+}
+
+// assertFailed checks the fraction of requests whose parts ran in vain, over all kinds.
+func assertFailed(t *testing.T, r surge.Result, maxFraction float64) {
+	t.Helper()
+	asked, failed := 0, 0
+	for _, k := range r.Kinds {
+		asked += k.Asked
+		failed += k.Failed
+	}
+	if float64(failed) > maxFraction*float64(asked) {
+		t.Errorf("%d of %d requests ended without an answer after parts had run, want at most %v", failed, asked, maxFraction)
+	}
+}
+
+func TestLoads(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run("within what the servers can do are answered", func(t *testing.T) {
+			r := run(1, seed, nil)
+			assertAllEnded(t, r)
+			assertUnserved(t, r, 0.001)
+			for i, k := range r.Kinds {
+				if k.InTime < k.Asked*95/100 {
+					t.Errorf("kind %d: %d of %d requests were answered in time", i, k.InTime, k.Asked)
+				}
+			}
+		})
+		t.Run("with servers that refuse parts waste no work on queries that end with nothing", func(t *testing.T) {
+			for _, load := range []float64{1, 1.5, 2.5} {
+				r := run(load, seed, refuseTwoFifths)
+				assertAllEnded(t, r)
+				assertFailed(t, r, 0.01)
+			}
+		})
+		t.Run("beyond what the servers can do are refused before parts run", func(t *testing.T) {
+			r := run(2.5, seed, nil)
+			assertAllEnded(t, r)
+			assertFailed(t, r, 0.01)
+		})
+		t.Run("without one of two servers of a few shards are answered", func(t *testing.T) {
+			r := run(1, seed, func(sim *surge.Simulation, _ surge.Params) {
+				sim.Server(0, 0).Dark, sim.Server(7, 1).Dark = true, true
+			})
+			assertAllEnded(t, r)
+			assertUnserved(t, r, 0.001)
+		})
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	if a, b := run(1.5, 4, refuseTwoFifths), run(1.5, 4, refuseTwoFifths); !reflect.DeepEqual(a, b) {
+		t.Errorf("the same seed gives %+v and %+v", a, b)
+	}
+}
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -29,16 +29,6 @@
 	defaultMaxConnections = 16
 	// maxWaiters is how many requests may wait for a connection to a server.
 	maxWaiters = 1
-	// maxWaitFraction is the fraction of the time until the answer is due that a request may spend in a server's queue.
-	// lowPriorityMaxWaitFraction applies to requests below the highest priority. A hedge may wait hedgeMaxWaitFraction as long as a
-	// first attempt, since in a long queue it only delays the first attempts of others.
-	maxWaitFraction            = 0.7
-	lowPriorityMaxWaitFraction = 0.55
-	hedgeMaxWaitFraction       = 0.4
-	// A server whose requests fail more often than maxFailureRate is passed over while less than minRetryRemaining of the retry budget
-	// is left.
-	maxFailureRate    = 0.2
-	minRetryRemaining = 0.25
 	// initialLatencyFraction is the initial estimate of a part's latency, as a fraction of the route's target latency.
 	initialLatencyFraction = 0.15
 	// initialLatency is the initial estimate of a part's latency for a route without a target latency.
@@ -156,40 +146,27 @@
 	// maxWait is the longest wait in a server's queue with which the answer can still be in time.
 	maxWait time.Duration
 	// skipped counts the servers that were skipped for the request, by reason.
-	skipped skipped
+	skipped place.Skipped
 	// onRetryDenied is called for each retry or hedge that the retry budget does not allow.
 	onRetryDenied func(service ident.Service, firsts, retries int, fraction float64)
 }
 
-// skipped counts the servers that were not eligible for a request, by reason.
-type skipped struct {
-	// cold servers have reached their warm-up rate, full ones have no free connection, slow ones have too long a queue,
-	// failing ones fail too often for the retry budget, and down ones are in backoff because they did not answer or could
-	// not be reached.
-	cold, full, slow, failing, down int
-}
-
-// atCapacity returns the number of servers that were skipped for lack of capacity.
-func (p skipped) atCapacity() int { return p.cold + p.full + p.slow + p.failing }
-
 // Choose implements gather.Chooser.
 func (c *chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server, cause gather.Cause) (ident.Server, gather.Capacity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	maxWait := c.maxWait
-	if cause == gather.CauseLate {
-		maxWait = time.Duration(hedgeMaxWaitFraction * float64(maxWait))
+	a := place.Attempt{
+		Typical: c.typical, FailureCost: c.failureCost, MaxWait: c.maxWait, Hedge: cause == gather.CauseLate,
+		RetryRemaining: c.retries.Remaining(now, service, c.limitFraction()),
 	}
-	skippedBefore := c.skipped.atCapacity()
+	skippedBefore := c.skipped.AtCapacity()
 	usable, fallback := c.roster.Candidates(now, service)
 	for _, members := range [][]*roster.Member{usable, fallback} {
-		eligible := c.eligible(now, service, members, exclude, maxWait)
-		if o, ok := c.balancer.Pick(now, eligible, c.typical, c.failureCost, c.rng); ok {
-			return o.Server, gather.CapacityNow
+		if server, ok := c.balancer.Choose(now, c.candidates(now, members, exclude), a, &c.skipped, c.rng); ok {
+			return server, gather.CapacityNow
 		}
-		c.skipped.down += len(eligible)
 	}
-	if c.skipped.atCapacity() > skippedBefore {
+	if c.skipped.AtCapacity() > skippedBefore {
 		return "", gather.CapacityLater
 	}
 	return "", gather.CapacityNone
@@ -220,48 +197,18 @@
 	return 1 / float64(len(d.vms))
 }
 
-// eligible returns the servers with capacity for a request: a cold server must be within its warm-up rate, and each server
-// must have a free connection and a queue in which the request waits for maxWait at most, and must not fail too often.
-func (c *chooser) eligible(
-	now time.Time, service ident.Service, members []*roster.Member, exclude []ident.Server, maxWait time.Duration,
-) []place.Candidate {
-	out := make([]place.Candidate, 0, len(members))
-	failing := c.failing(now, service, members)
-	for _, m := range members {
+// candidates describes servers to package place.
+func (c *chooser) candidates(now time.Time, members []*roster.Member, exclude []ident.Server) []place.Candidate {
+	out := make([]place.Candidate, len(members))
+	for i, m := range members {
 		e := m.Entry()
-		o := place.Candidate{Server: e.Server, Slots: e.Slots, CrossDomain: e.Domain != c.domain, Cold: m.Cold(now)}
-		switch {
-		case slices.Contains(exclude, e.Server):
-		case o.Cold && !c.warmupLimiter.MaySend(now, e.Server, c.coldRate(e.Service), c.self, c.vms):
-			c.skipped.cold++
-		case c.balancer.InFlight(e.Server) >= c.maxConnections(e.Service)+maxWaiters:
-			c.skipped.full++
-		case c.balancer.QueueDelay(now, o, c.typical) > maxWait:
-			c.skipped.slow++
-		case failing.Has(e.Server):
-			c.skipped.failing++
-		default:
-			out = append(out, o)
-		}
-	}
-	return out
-}
-
-// failing returns the servers to pass over because they fail often and too little of the retry budget is left to send their parts
-// again. It is empty if all servers fail often.
-func (c *chooser) failing(now time.Time, service ident.Service, members []*roster.Member) sets.Set[ident.Server] {
-	if c.retries.Remaining(now, service, c.limitFraction()) >= minRetryRemaining {
-		return nil
-	}
-	out := make(sets.Set[ident.Server])
-	for _, m := range members {
-		if s := m.Entry().Server; c.balancer.FailureRate(now, s) > maxFailureRate {
-			out.Add(s)
+		cold := m.Cold(now)
+		out[i] = place.Candidate{
+			Server: e.Server, Slots: e.Slots, CrossDomain: e.Domain != c.domain, Cold: cold,
+			ColdLimited: cold && !c.warmupLimiter.MaySend(now, e.Server, c.coldRate(e.Service), c.self, c.vms),
+			MaxInFlight: c.maxConnections(e.Service) + maxWaiters, Excluded: slices.Contains(exclude, e.Server),
 		}
 	}
-	if len(out) == len(members) {
-		return nil
-	}
 	return out
 }
 
@@ -275,16 +222,11 @@
 	return max(1, int(serverConnFraction*float64(limit)/float64(max(1, d.serving))))
 }
 
-// maxWait returns the longest time that a request may wait in a server's queue. It is longer for requests of the highest
-// priority, so that a full queue rejects the others first.
-func (d *dispatch) maxWait(rank int, left time.Duration) time.Duration {
+// maxWait returns the longest time that a request of a priority may wait in a server's queue if its answer is due after the given time.
+func (d *dispatch) maxWait(rank int, due time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	fraction := maxWaitFraction
-	if d.table != nil && rank > d.table.HighestPriority() {
-		fraction = lowPriorityMaxWaitFraction
-	}
-	return time.Duration(fraction * float64(left))
+	return place.MaxWait(d.table == nil || rank <= d.table.HighestPriority(), due)
 }
 
 // coldRate returns the rate, in requests per second, of a cold server of a service, 0 if none is published.
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -13,6 +13,7 @@
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/place"
 	"kumquatreel.example/kumquatreel/internal/tier/roster"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
 )
@@ -83,7 +84,7 @@
 	if server, capacity := c.Choose(start.Add(typical), "books", nil, gather.CauseFirst); capacity != gather.CapacityNone {
 		t.Errorf("found server %q, capacity %v; want none", server, capacity)
 	}
-	if c.skipped.down != 2 || c.skipped.atCapacity() != 0 {
+	if c.skipped.Down != 2 || c.skipped.AtCapacity() != 0 {
 		t.Errorf("skipped servers: %+v, want two as down", c.skipped)
 	}
 }
@@ -102,7 +103,7 @@
 		for d.retries.Take(start, "books", 1, retry.PurposeRetry) {
 		}
 	}
-	choose := func(d *dispatch, now time.Time) (ident.Server, gather.Capacity, skipped) {
+	choose := func(d *dispatch, now time.Time) (ident.Server, gather.Capacity, place.Skipped) {
 		c := &chooser{dispatch: d, typical: typical, maxWait: 3 * typical}
 		s, capacity := c.Choose(now, "books", nil, gather.CauseFirst)
 		return s, capacity, c.skipped
@@ -120,7 +121,7 @@
 		for range 20 {
 			d.balancer.Sent(start, "b", typical)
 		}
-		if s, capacity, skipped := choose(d, start); capacity != gather.CapacityLater || skipped.failing != 1 {
+		if s, capacity, skipped := choose(d, start); capacity != gather.CapacityLater || skipped.Failing != 1 {
 			t.Errorf("sent to %q, capacity %v, skipped %+v; want to wait for the sound server", s, capacity, skipped)
 		}
 	})
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -12,6 +12,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/place"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
 )
 
@@ -66,7 +67,7 @@
 	sends      int
 	hedges     int
 	refused    int
-	skipped    skipped
+	skipped    place.Skipped
 }
 
 // attemptResult is the result of sending a part to a server.
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -313,8 +313,8 @@
 // details returns the values that explain a request without an answer, as keys and values for the log.
 func (o outcome) details() []any {
 	return []any{
-		"sends", o.sends, "refused", o.refused, "passedCold", o.skipped.cold, "passedFull", o.skipped.full, "passedSlow", o.skipped.slow,
-		"passedFailing", o.skipped.failing, "passedDown", o.skipped.down,
+		"sends", o.sends, "refused", o.refused, "passedCold", o.skipped.Cold, "passedFull", o.skipped.Full, "passedSlow", o.skipped.Slow,
+		"passedFailing", o.skipped.Failing, "passedDown", o.skipped.Down,
 	}
 }
 
--- /dev/null
+++ b/internal/tier/place/choose.go
@@ -0,0 +1,110 @@
+package place
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/base/sets"
+)
+
+const (
+	// A request may spend maxWaitFraction of the time until its answer is due in a server's queue, or lowPriorityMaxWaitFraction if it
+	// is below the highest priority. A hedge may wait hedgeMaxWaitFraction as long as a first attempt, since in a long queue it only
+	// delays the first attempts of others.
+	maxWaitFraction            = 0.7
+	lowPriorityMaxWaitFraction = 0.55
+	hedgeMaxWaitFraction       = 0.4
+	// A server whose requests fail more often than maxFailureRate is passed over while less than minRetryRemaining of the retry budget
+	// is left.
+	maxFailureRate    = 0.2
+	minRetryRemaining = 0.25
+)
+
+// Attempt describes an attempt for which a server is chosen.
+type Attempt struct {
+	// Typical is the typical latency of this kind of request.
+	Typical time.Duration
+	// FailureCost is the time that a failed attempt costs.
+	FailureCost time.Duration
+	// MaxWait is the longest wait in a server's queue.
+	MaxWait time.Duration
+	// RetryRemaining is the fraction of the retry budget that is left, from 0 to 1.
+	RetryRemaining float64
+	// Hedge is set for an attempt beside one that is late.
+	Hedge bool
+}
+
+// Skipped counts the servers that were not eligible for an attempt, by reason.
+type Skipped struct {
+	// Cold servers have reached their warm-up rate, Full ones have no free connection, Slow ones have too long a queue, Failing ones fail
+	// too often for the retry budget, and Down ones are in backoff because they did not answer or could not be reached.
+	Cold, Full, Slow, Failing, Down int
+}
+
+// AtCapacity returns the number of servers that were skipped for lack of capacity, which may have some soon.
+func (s Skipped) AtCapacity() int { return s.Cold + s.Full + s.Slow + s.Failing }
+
+// MaxWait returns the longest time that a request may wait in a server's queue if its answer is due after the given time. It is longer
+// for requests of the highest priority.
+//
+// Load pattern: more requests arrive than the servers can answer in time. What would wait too long is refused at once, and a queue that
+// fills up rejects the less urgent requests first.
+func MaxWait(highestPriority bool, due time.Duration) time.Duration {
+	if highestPriority {
+		return time.Duration(maxWaitFraction * float64(due))
+	}
+	return time.Duration(lowPriorityMaxWaitFraction * float64(due))
+}
+
+// Choose returns the candidate with the lowest cost among those with capacity for an attempt, or false if there is none, and counts the
+// others in skipped.
+//
+// Load patterns: one server of a shard refuses a part of its requests while the other is full; all servers have queues, so that every
+// part is late and hedges compete with first attempts.
+func (b *Balancer) Choose(now time.Time, candidates []Candidate, a Attempt, skipped *Skipped, rng *rand.Rand) (ident.Server, bool) {
+	maxWait := a.MaxWait
+	if a.Hedge {
+		maxWait = time.Duration(hedgeMaxWaitFraction * float64(maxWait))
+	}
+	failing := b.failing(now, candidates, a.RetryRemaining)
+	eligible := make([]Candidate, 0, len(candidates))
+	for _, cand := range candidates {
+		switch {
+		case cand.Excluded:
+		case cand.ColdLimited:
+			skipped.Cold++
+		case cand.MaxInFlight > 0 && b.InFlight(cand.Server) >= cand.MaxInFlight:
+			skipped.Full++
+		case b.QueueDelay(now, cand, a.Typical) > maxWait:
+			skipped.Slow++
+		case failing.Has(cand.Server):
+			skipped.Failing++
+		default:
+			eligible = append(eligible, cand)
+		}
+	}
+	best, ok := b.Pick(now, eligible, a.Typical, a.FailureCost, rng)
+	if !ok {
+		skipped.Down += len(eligible)
+	}
+	return best.Server, ok
+}
+
+// failing returns the servers to pass over because they fail often and too little of the retry budget is left to send their requests
+// again. It is empty if all servers fail often.
+func (b *Balancer) failing(now time.Time, candidates []Candidate, retryRemaining float64) sets.Set[ident.Server] {
+	if retryRemaining >= minRetryRemaining {
+		return nil
+	}
+	out := make(sets.Set[ident.Server])
+	for _, cand := range candidates {
+		if st := b.servers[cand.Server]; st != nil && st.currentFailureRate(now) > maxFailureRate {
+			out.Add(cand.Server)
+		}
+	}
+	if len(out) == len(candidates) {
+		return nil
+	}
+	return out
+}
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -52,8 +52,12 @@
 	Slots  int
 	// CrossDomain is true if the server is in another failure domain than the VM.
 	CrossDomain bool
-	// Cold is true while the server is in a cold start.
-	Cold bool
+	// Cold is true while the server is in a cold start, and ColdLimited while its warm-up rate allows no further request.
+	Cold, ColdLimited bool
+	// MaxInFlight is how many requests the VM may have in flight to the server, 0 for any number.
+	MaxInFlight int
+	// Excluded is true if the server must not get this request, since it has had it already.
+	Excluded bool
 }
 
 // Handle identifies a request in flight to a server.
@@ -159,15 +163,6 @@
 	return time.Duration(float64(typical) * st.currentLatencyRatio(now) * queueing)
 }
 
-// FailureRate returns the estimated fraction of requests that fail at a server now.
-func (b *Balancer) FailureRate(now time.Time, s ident.Server) float64 {
-	st := b.servers[s]
-	if st == nil {
-		return 0
-	}
-	return st.currentFailureRate(now)
-}
-
 // InFlight returns the number of requests that the VM has in flight to a server.
 func (b *Balancer) InFlight(s ident.Server) int {
 	st := b.servers[s]
