place: pass over failing servers only when a tenth of the retry budget is left

Cause: at a quarter of the budget, servers that still did three fifths of their work were left alone although their refused parts could have been sent again; queries were refused at the door instead. Change: the limit is a tenth.

--- a/internal/lab/surge/surge_test.go
+++ b/internal/lab/surge/surge_test.go
@@ -82,6 +82,9 @@
 				assertFailed(t, r, 0.01)
 			}
 		})
+		t.Run("that the servers can do with retries are answered", func(t *testing.T) {
+			assertUnserved(t, run(1.5, seed, refuseTwoFifths), 0.02)
+		})
 		t.Run("beyond what the servers can do are refused before parts run", func(t *testing.T) {
 			r := run(2.5, seed, nil)
 			assertAllEnded(t, r)
--- a/internal/tier/place/choose.go
+++ b/internal/tier/place/choose.go
@@ -18,7 +18,7 @@
 	// A server whose requests fail more often than maxFailureRate is passed over while less than minRetryRemaining of the retry budget
 	// is left.
 	maxFailureRate    = 0.2
-	minRetryRemaining = 0.25
+	minRetryRemaining = 0.1
 )
 
 // Attempt describes an attempt for which a server is chosen.
