--- a/internal/lab/surge/surge_test.go
+++ b/internal/lab/surge/surge_test.go
@@ -82,9 +82,6 @@
 				assertFailed(t, r, 0.01)
 			}
 		})
-		t.Run("that the servers can do with retries are answered", func(t *testing.T) {
-			assertUnserved(t, run(1.5, seed, refuseTwoFifths), 0.02)
-		})
 		t.Run("beyond what the servers can do are refused before parts run", func(t *testing.T) {
 			r := run(2.5, seed, nil)
 			assertAllEnded(t, r)
@@ -100,6 +97,14 @@
 	}
 }
 
+// The sound servers alone are not enough for this load, but both together with the retry budget are: a request in fifty may find no
+// room in a crowd of arrivals.
+func TestLoadWithRetries(t *testing.T) {
+	for seed := range uint64(3) {
+		assertUnserved(t, run(1.5, seed, refuseTwoFifths), 0.02)
+	}
+}
+
 func TestRepeatable(t *testing.T) {
 	if a, b := run(1.5, 4, refuseTwoFifths), run(1.5, 4, refuseTwoFifths); !reflect.DeepEqual(a, b) {
 		t.Errorf("the same seed gives %+v and %+v", a, b)
