--- a/internal/lab/surge/surge.go
+++ b/internal/lab/surge/surge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
@@ -88,11 +89,14 @@
 // Simulation is a simulated system. It is not safe for concurrent use.
 type Simulation struct {
 	sched.Queue
-	params  Params
-	rng     *rand.Rand
-	servers [][]*Server
-	vms     []*vm
-	result  Result
+	params Params
+	rng    *rand.Rand
+	// shards names the services, one for each shard, and replicas holds the servers of each.
+	shards   []ident.Service
+	replicas map[ident.Service][]*Server
+	servers  map[ident.Server]*Server
+	vms      []*vm
+	result   Result
 }
 
 // vm is a VM with the product's decisions.
@@ -105,15 +109,19 @@
 
 // New returns a system in which nothing has been sent.
 func New(p Params) *Simulation {
-	sim := &Simulation{params: p, rng: rand.New(rand.NewPCG(p.Seed, 1)), result: Result{Kinds: make([]Outcome, len(p.Kinds))}}
+	sim := &Simulation{
+		params: p, rng: rand.New(rand.NewPCG(p.Seed, 1)), replicas: make(map[ident.Service][]*Server),
+		servers: make(map[ident.Server]*Server), result: Result{Kinds: make([]Outcome, len(p.Kinds))},
+	}
 	for i := range p.Shards {
-		var replicas []*Server
+		shard := ident.Service(fmt.Sprintf("s%d", i))
+		sim.shards = append(sim.shards, shard)
 		for r := range p.Replicas {
-			s := &Server{name: ident.Server(fmt.Sprintf("s%d-%d", i, r)), sim: sim, rng: rand.New(rand.NewPCG(p.Seed, uint64(2+i*p.Replicas+r)))}
+			s := &Server{name: ident.Server(fmt.Sprintf("%s-%d", shard, r)), sim: sim, rng: rand.New(rand.NewPCG(p.Seed, uint64(2+i*p.Replicas+r)))}
 			s.phase = time.Duration(sim.rng.Float64() * float64(p.PauseEvery))
-			replicas = append(replicas, s)
+			sim.replicas[shard] = append(sim.replicas[shard], s)
+			sim.servers[s.name] = s
 		}
-		sim.servers = append(sim.servers, replicas)
 	}
 	for range p.VMs {
 		v := &vm{sim: sim, retries: retry.New(p.Retries), latency: make([]timing.Estimator, len(p.Kinds))}
@@ -126,7 +134,9 @@
 }
 
 // Server returns a replica of a shard.
-func (sim *Simulation) Server(shard, replica int) *Server { return sim.servers[shard][replica] }
+func (sim *Simulation) Server(shard, replica int) *Server {
+	return sim.replicas[sim.shards[shard]][replica]
+}
 
 // RunLoad sends the load for the given time, waits until all requests have ended, and returns the result.
 func (sim *Simulation) RunLoad(d time.Duration) Result {
@@ -167,7 +177,7 @@
 	sim.After(sim.params.ClientDelay, func() { v.serve(c) })
 }
 
-// ended records the end of a client's attempt. With a status that is not final the client returns after a delay.
+// ended records the end of a client's attempt. A client without an answer returns after a delay if it has a retry and time left.
 func (sim *Simulation) ended(c *client, coverage float64, notRun bool, retryAfter time.Duration) {
 	sim.After(sim.params.ClientDelay, func() {
 		kind, out := sim.params.Kinds[c.kind], &sim.result.Kinds[c.kind]
@@ -213,30 +223,21 @@
 	estimate := &v.latency[c.kind]
 	r := &run{vm: v, client: c, due: due, typical: estimate.Median()}
 	spec := gather.Spec{
-		MaxAttempts: maxAttempts, Idempotent: true, MinCoverage: kind.MinCoverage, SoftDeadline: sim.instant().Add(due),
+		Shards: sim.shards, MaxAttempts: maxAttempts, Idempotent: true, MinCoverage: kind.MinCoverage, SoftDeadline: sim.instant().Add(due),
 		HardDeadline: sim.instant().Add(kind.Budget - used - sim.params.ClientDelay), TypicalLatency: r.typical, LateAfter: estimate.HighQuantile(),
 	}
-	for i := range sim.params.Shards {
-		spec.Shards = append(spec.Shards, service(i))
-	}
 	r.state = gather.New(spec)
 	r.send(r.state.Start(sim.instant(), r))
 }
 
-func service(shard int) ident.Service { return ident.Service(fmt.Sprintf("s%d", shard)) }
-
 // Choose implements gather.Chooser.
 func (r *run) Choose(now time.Time, s ident.Service, exclude []ident.Server, cause gather.Cause) (ident.Server, gather.Capacity) {
 	sim := r.vm.sim
-	var shard int
-	_, _ = fmt.Sscanf(string(s), "s%d", &shard)
 	candidates := make([]place.Candidate, 0, sim.params.Replicas)
-	for _, srv := range sim.servers[shard] {
-		candidate := place.Candidate{Server: srv.name, Slots: sim.params.Slots}
-		for _, e := range exclude {
-			candidate.Excluded = candidate.Excluded || e == srv.name
-		}
-		candidates = append(candidates, candidate)
+	for _, srv := range sim.replicas[s] {
+		candidates = append(candidates, place.Candidate{
+			Server: srv.name, Slots: sim.params.Slots, Excluded: slices.Contains(exclude, srv.name),
+		})
 	}
 	before := r.skipped.AtCapacity()
 	server, ok := r.vm.balancer.Choose(now, candidates, place.Attempt{
@@ -287,16 +288,10 @@
 	c.reply = func(verdict gather.Verdict, load *header.Load) {
 		sim.After(sim.params.NetDelay, func() { r.replied(s, handle, verdict, load, sim.Now()-began) })
 	}
-	server := sim.byName(s)
+	server := sim.servers[s.Server]
 	sim.After(sim.params.NetDelay, func() { server.arrive(c) })
 }
 
-func (sim *Simulation) byName(s gather.Send) *Server {
-	var shard, replica int
-	_, _ = fmt.Sscanf(string(s.Server), "s%d-%d", &shard, &replica)
-	return sim.servers[shard][replica]
-}
-
 func (r *run) replied(s gather.Send, h place.Handle, verdict gather.Verdict, load *header.Load, took time.Duration) {
 	v, now := r.vm, r.vm.sim.instant()
 	switch verdict {
--- a/internal/tier/admit/admit.go
+++ b/internal/tier/admit/admit.go
@@ -10,6 +10,12 @@
 	maxStartupWait = 500 * time.Millisecond
 	// defaultStartupWait is that time for a client that states no remaining time.
 	defaultStartupWait = 200 * time.Millisecond
+	// A client whose request found no capacity should retry after a random fraction of its remaining time between these.
+	minRetryFraction = 0.125
+	maxRetryFraction = 0.375
+	// MinRetryAfter is the shortest delay after which a client should retry, maxRetryAfter the longest.
+	MinRetryAfter = 20 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
 )
 
 // StartupWait returns how long a request may wait for the first configuration of a VM that has just started. remaining is the
@@ -24,15 +30,6 @@
 	return min(maxStartupWait, time.Duration(startupFraction*float64(remaining)))
 }
 
-const (
-	// A client whose request found no capacity should retry after a random fraction of its remaining time between these.
-	minRetryFraction = 0.125
-	maxRetryFraction = 0.375
-	// MinRetryAfter and MaxRetryAfter bound the delay after which a client should retry.
-	MinRetryAfter = 20 * time.Millisecond
-	MaxRetryAfter = 2 * time.Second
-)
-
 // RetryAfter returns the delay after which a client should retry a request for which no server has capacity. remaining is the time
 // until the request's deadline and random a number in [0,1).
 //
@@ -40,5 +37,5 @@
 // time, and early enough to be answered within their remaining time.
 func RetryAfter(remaining time.Duration, random float64) time.Duration {
 	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*random
-	return min(max(MinRetryAfter, time.Duration(fraction*float64(remaining))), MaxRetryAfter)
+	return min(max(MinRetryAfter, time.Duration(fraction*float64(remaining))), maxRetryAfter)
 }
--- a/internal/tier/admit/admit_test.go
+++ b/internal/tier/admit/admit_test.go
@@ -40,5 +40,5 @@
 		}
 	}
 	assertBetween(t, "delay of a client without time", admit.RetryAfter(0, 0.5), admit.MinRetryAfter, admit.MinRetryAfter)
-	assertBetween(t, "delay of a patient client", admit.RetryAfter(time.Minute, 0.5), admit.MinRetryAfter, admit.MaxRetryAfter)
+	assertBetween(t, "delay of a patient client", admit.RetryAfter(time.Minute, 0.5), admit.MinRetryAfter, 2*time.Second)
 }
--- a/internal/tier/place/doc.go
+++ b/internal/tier/place/doc.go
@@ -8,5 +8,6 @@
 // or cannot be reached backs off. If all servers back off, a probe request is
 // sent now and then to find out whether one has recovered.
 //
-// Package edge asks it for a server for each attempt and reports the result.
+// Choose first passes over the servers without capacity for the attempt: those with too long a queue, without a free connection, or that
+// fail too often for the retry budget that is left. Package edge calls it for each attempt and reports the result.
 package place
