retry, link: tell a hedge by a bool, and return connections by one path

Ruled out: one piece for the last lines of Choose in edge and surge (capacity from the servers skipped): place would have to know gather. Change: Take takes hedge; addIdle says whether a connection was taken back, and put releases it otherwise. No decision changes, and the tests keep their assertions.

--- a/internal/lab/surge/surge.go
+++ b/internal/lab/surge/surge.go
@@ -255,11 +255,7 @@
 
 // AllowRetry implements gather.Chooser.
 func (r *run) AllowRetry(now time.Time, s ident.Service, cause gather.Cause) bool {
-	purpose := retry.PurposeRetry
-	if cause == gather.CauseLate {
-		purpose = retry.PurposeHedge
-	}
-	return r.vm.retries.Take(now, s, r.vm.share(), purpose)
+	return r.vm.retries.Take(now, s, r.vm.share(), cause == gather.CauseLate)
 }
 
 func (v *vm) share() float64 { return 1 / float64(len(v.sim.vms)) }
--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -19,19 +19,6 @@
 	hedgeFraction = 0.6
 )
 
-//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Purpose -trimprefix=Purpose -transform=title-lower -output=enums.go
-
-// Purpose is what an attempt after the first one is made for.
-type Purpose int
-
-// The purposes.
-const (
-	// PurposeRetry is an attempt after all earlier ones have ended without an answer.
-	PurposeRetry Purpose = iota
-	// PurposeHedge is an attempt beside an earlier one that is late.
-	PurposeHedge
-)
-
 // Limits bound the retries and hedges of one service over the whole fleet: in each window, at most Ratio times the first attempts,
 // plus Slack.
 type Limits struct {
@@ -67,10 +54,10 @@
 }
 
 // Take counts a retry or hedge and reports true if the budget allows it; otherwise it counts nothing and reports false. share is the
-// VM's fraction of the fleet's Slack, from 0 to 1.
-func (b *Budget) Take(now time.Time, s ident.Service, share float64, p Purpose) bool {
+// VM's fraction of the fleet's Slack, from 0 to 1. hedge tells an attempt beside a late one from one after all others have ended.
+func (b *Budget) Take(now time.Time, s ident.Service, share float64, hedge bool) bool {
 	allowed, retries := b.usage(now, s, share)
-	if p == PurposeHedge {
+	if hedge {
 		allowed *= hedgeFraction
 	}
 	if float64(retries+1) > allowed {
--- a/internal/limit/retry/retry_test.go
+++ b/internal/limit/retry/retry_test.go
@@ -17,13 +17,13 @@
 )
 
 func take(b *retry.Budget, now time.Time, members int) int {
-	return takeFor(b, now, members, retry.PurposeRetry)
+	return takeFor(b, now, members, false)
 }
 
-func takeFor(b *retry.Budget, now time.Time, members int, p retry.Purpose) int {
+func takeFor(b *retry.Budget, now time.Time, members int, hedge bool) int {
 	n := 0
 	for range 1000 {
-		if b.Take(now, "books", 1/float64(members), p) {
+		if b.Take(now, "books", 1/float64(members), hedge) {
 			n++
 		}
 	}
@@ -60,8 +60,8 @@
 		for range 100 {
 			b.CountFirst(start, "books")
 		}
-		hedges := takeFor(b, start, 1, retry.PurposeHedge)
-		retries := takeFor(b, start, 1, retry.PurposeRetry)
+		hedges := takeFor(b, start, 1, true)
+		retries := takeFor(b, start, 1, false)
 		assertTaken(t, retries, 15, 30)
 		assertTaken(t, hedges+retries, 50, 70)
 	})
@@ -134,7 +134,7 @@
 			}
 			b.CountFirst(now, "books")
 			first[step]++
-			if b.Take(now, "books", 1/float64(members), retry.PurposeRetry) {
+			if b.Take(now, "books", 1/float64(members), false) {
 				retries[step]++
 			}
 		}
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -174,13 +174,9 @@
 
 // AllowRetry implements gather.Chooser.
 func (c *chooser) AllowRetry(now time.Time, service ident.Service, cause gather.Cause) bool {
-	purpose := retry.PurposeRetry
-	if cause == gather.CauseLate {
-		purpose = retry.PurposeHedge
-	}
 	c.mu.Lock()
 	fraction := c.limitFraction()
-	ok := c.retries.Take(now, service, fraction, purpose)
+	ok := c.retries.Take(now, service, fraction, cause == gather.CauseLate)
 	firsts, retries := c.retries.Counts(now, service)
 	c.mu.Unlock()
 	if !ok && c.onRetryDenied != nil {
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -9,7 +9,6 @@
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/conf/setup"
-	"kumquatreel.example/kumquatreel/internal/limit/retry"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
@@ -100,7 +99,7 @@
 		}
 	}
 	exhaust := func(d *dispatch) {
-		for d.retries.Take(start, "books", 1, retry.PurposeRetry) {
+		for d.retries.Take(start, "books", 1, false) {
 		}
 	}
 	choose := func(d *dispatch, now time.Time) (ident.Server, gather.Capacity, place.Skipped) {
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -291,25 +291,25 @@
 
 // put returns a connection to the pool if keep is true, and closes it otherwise.
 func (p *pool) put(cn *conn, keep bool) {
-	if !keep {
+	if !keep || !p.addIdle(cn) {
 		_ = cn.Close()
 		p.release()
 		return
 	}
+	p.signalFreed()
+}
+
+// addIdle adds a connection to the idle ones, or returns false if the pool has been closed.
+func (p *pool) addIdle(cn *conn) bool {
 	_ = cn.SetDeadline(time.Time{})
 	cn.idleSince = time.Now()
 	p.mu.Lock()
-	closed := p.closed
-	if closed {
-		p.open--
-	} else {
-		p.idle = append(p.idle, cn)
-	}
-	p.mu.Unlock()
-	if closed {
-		_ = cn.Close()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
 	}
-	p.signalFreed()
+	p.idle = append(p.idle, cn)
+	return true
 }
 
 func (p *pool) release() {
