roster, edge: keep what servers say of themselves in their answers

Cause: a server's word was known from its entry in the store only. While the store is away, or an entry lies, a VM went on sending to a server that leaves, and a refusal with a time was answered by retries. Ruled out: a fifth place beside roster (leaving, cold), pacer (limit), warmup and place: what is held belongs to a start of a server and has to be weighed against its entries, which roster does already; pacer and warmup only count tokens. Change: roster holds what a server says in its answers, by start, beyond the life of its entry: it leaves (a fallback for a third of the drain time, then nothing until another start), or wants nothing until a time. In order of precedence: the server's answers, its entry, what other VMs heard, which only puts it behind the others. place passes over resting servers for first attempts, hedges, retries and waiting parts, and link asks again before it sends a call that waited for its connection. What no server may take is refused at once, with the end as Retry-After, spread over a fifth of what the client has left after it. Conversions of numbers from headers saturate (base/units).

--- a/internal/tier/admit/admit.go
+++ b/internal/tier/admit/admit.go
@@ -13,6 +13,8 @@
 	// A client whose request found no capacity should retry after a random fraction of its remaining time between these.
 	minRetryFraction = 0.125
 	maxRetryFraction = 0.375
+	// restSpreadFraction is the fraction of the time that a client has left after a rest of the servers over which clients return.
+	restSpreadFraction = 0.2
 	// MinRetryAfter is the shortest delay after which a client should retry, maxRetryAfter the longest.
 	MinRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -39,3 +41,12 @@
 	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*random
 	return min(max(MinRetryAfter, time.Duration(fraction*float64(remaining))), maxRetryAfter)
 }
+
+// RetryAfterRest returns the delay after which a client should retry a request that only servers could take that want no requests for
+// the time rest. remaining and random are those of RetryAfter.
+//
+// Load pattern: all servers of a shard turn requests away until a known time. Clients that come back before it are turned away again,
+// and those that all come back at it are too many at once.
+func RetryAfterRest(rest, remaining time.Duration, random float64) time.Duration {
+	return max(MinRetryAfter, rest) + time.Duration(restSpreadFraction*random*float64(max(0, remaining-rest)))
+}
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 	tokenWaitFactor = 2.0
 	// initialLatencyFraction is the initial estimate of a part's latency, as a fraction of the route's target latency.
 	initialLatencyFraction = 0.15
+	// leavingValue is the value of the header with which a server says that it leaves.
+	leavingValue = "1"
 	// initialLatency is the initial estimate of a part's latency for a route without a target latency.
 	initialLatency = 20 * time.Millisecond
 )
@@ -210,7 +213,7 @@
 	wait := c.maxWait
 	for _, m := range members {
 		server := m.Entry().Server
-		if slices.Contains(exclude, server) {
+		if slices.Contains(exclude, server) || c.roster.Resting(now, server) {
 			continue
 		}
 		if d := c.pacer.Delay(now, server, server == promised); d > 0 && tokenWaitFactor*d.Seconds() < wait.Seconds() {
@@ -259,9 +262,13 @@
 			Server: e.Server, Slots: e.Slots, CrossDomain: e.Domain != c.domain, Cold: cold,
 			ColdLimited: cold && !c.warmupLimiter.MaySend(now, e.Server, c.coldRate(e.Service), c.self, c.vms),
 			Limited:     c.pacer.Delay(now, e.Server, e.Server == promised) > 0,
+			Resting:     c.roster.Resting(now, e.Server),
 			Scarce:      c.pacer.Scarce(now, e.Server),
 			MaxInFlight: c.maxConnections(e.Service) + maxWaiters, Excluded: slices.Contains(exclude, e.Server),
 		}
+		if out[i].Resting && !out[i].Excluded {
+			c.roster.Withheld(e.Server)
+		}
 	}
 	return out
 }
@@ -291,14 +298,23 @@
 	return d.table.Service(s).ColdRate
 }
 
-// begin records that a part is sent to a server. It returns a handle for the result, the server's address and the number of
-// connections that may be open to it, or false if the server has been removed.
-func (d *dispatch) begin(now time.Time, s gather.Send, typical time.Duration) (place.Handle, header.Target, int, bool) {
+// sending is an attempt that is being sent to a server.
+type sending struct {
+	handle place.Handle
+	target header.Target
+	// start is the start of the server that the attempt was chosen for.
+	start roster.Start
+	// connections is the number of connections that may be open to the server.
+	connections int
+}
+
+// begin records that a part is sent to a server. It returns false if the server has been removed.
+func (d *dispatch) begin(now time.Time, s gather.Send, typical time.Duration) (sending, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := d.roster.Member(s.Server)
 	if m == nil {
-		return place.Handle{}, header.Target{}, 0, false
+		return sending{}, false
 	}
 	if m.Cold(now) {
 		d.warmupLimiter.RecordSend(now, s.Server, d.coldRate(s.Service), d.self, d.vms)
@@ -314,8 +330,17 @@
 	if s.Attempt == 0 {
 		d.retries.CountFirst(now, s.Service)
 	}
-	return d.balancer.Sent(now, s.Server, typical), header.Target{Server: s.Server, Address: m.Entry().Address},
-		d.maxConnections(s.Service), true
+	return sending{
+		handle: d.balancer.Sent(now, s.Server, typical), target: header.Target{Server: s.Server, Address: m.Entry().Address},
+		start: m.Entry().Start(), connections: d.maxConnections(s.Service),
+	}, true
+}
+
+// mayReceive reports whether a server may still receive an attempt that was chosen for it a while ago.
+func (d *dispatch) mayReceive(now time.Time, s sending) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.roster.MayReceive(now, s.target.Server, s.start)
 }
 
 // usage returns what an attempt is sent for.
@@ -349,20 +374,27 @@
 	// limit is the change of the limit that the server names, nil if there is none. badLimit is a limit that cannot be read.
 	limit    pacer.Change
 	badLimit string
+	// leaving says that the server says for the first time that it leaves.
+	leaving bool
+	// restUntil is until when the server newly wants nothing, or zero. badRetryAfter is a time that cannot be read.
+	restUntil     time.Time
+	badRetryAfter []string
 	// misplaced says that another server answered at its address.
 	misplaced bool
 }
 
 // end records the result of an attempt, which took the given time, and returns the changes in the state of its server.
 func (d *dispatch) end(
-	now time.Time, r *table.Route, h place.Handle, server ident.Server, res link.Result, names header.Names, took time.Duration,
+	now time.Time, r *table.Route, s sending, res link.Result, names header.Names, took time.Duration,
 ) serverChange {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var change serverChange
 	var load *header.Load
+	h, server := s.handle, s.target.Server
 	if res.Answer != nil && res.Verdict != gather.VerdictMisplaced {
 		change.limit, change.badLimit = d.observeLimit(now, now.Add(-took), server, res.Answer.Header.Get(names.Limit))
+		d.observeStatement(now, s, res.Answer, names, &change)
 	}
 	if res.Answer != nil {
 		if left, ok := header.ParseMillis(res.Answer.Header.Get(names.ColdMs)); ok && d.roster.MarkCold(now, server, left) {
@@ -401,6 +433,46 @@
 	return change
 }
 
+// observeStatement applies what an answer says of the server: that it leaves, and in a refusal that it wants nothing for a time.
+func (d *dispatch) observeStatement(now time.Time, s sending, a *link.Answer, names header.Names, change *serverChange) {
+	if a.Header.Get(names.Leaving) == leavingValue {
+		change.leaving = d.roster.HearLeaving(now, s.target.Server, s.start)
+	}
+	texts := a.Header[retryAfter]
+	if len(texts) == 0 || a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
+		return
+	}
+	rest, ok := header.ParseRetryAfter(texts)
+	switch {
+	case !ok:
+		change.badRetryAfter = texts
+	case rest > 0:
+		change.restUntil, _ = d.roster.HearRest(now, s.target.Server, s.start, rest)
+	}
+}
+
+// withholding returns why servers of services get no requests. Until is the instant at which need of the services have a server again, zero
+// if that is not known.
+func (d *dispatch) withholding(now time.Time, services []ident.Service, need int) roster.Withholding {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out roster.Withholding
+	var ends []time.Time
+	for _, s := range services {
+		w := d.roster.Withholding(now, s)
+		out.Leaving, out.Resting = out.Leaving+w.Leaving, out.Resting+w.Resting
+		if !w.Until.IsZero() {
+			ends = append(ends, w.Until)
+		}
+	}
+	// The other services may have a server now.
+	if others := len(services) - len(ends); need > others && need-others <= len(ends) {
+		slices.SortFunc(ends, time.Time.Compare)
+		out.Until = ends[need-others-1]
+	}
+	return out
+}
+
 // observeLimit applies the limit that an answer names, empty for none, and returns the change, or the text if it cannot be read.
 func (d *dispatch) observeLimit(now, sent time.Time, server ident.Server, text string) (change pacer.Change, malformed string) {
 	if text == "" {
@@ -421,6 +493,7 @@
 	d.retries.Prune(now)
 	d.warmupLimiter.Prune(now)
 	d.pacer.Prune(now)
+	d.roster.PruneStatements(now)
 	if d.table == nil {
 		return nil
 	}
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -60,13 +60,13 @@
 func TestColdAnswer(t *testing.T) {
 	d := newTestDispatch(t, "a")
 	r := d.table.Match("h", "/")
-	handle, _, _, ok := d.begin(start, gather.Send{Service: "books", Server: "a"}, typical)
+	sent, ok := d.begin(start, gather.Send{Service: "books", Server: "a"}, typical)
 	if !ok {
 		t.Fatal("server is unknown")
 	}
 	names := header.Names{ColdMs: "Cold-Ms"}
 	answer := &link.Answer{Status: http.StatusOK, Header: http.Header{"Cold-Ms": {"3000"}}}
-	d.end(start, r, handle, "a", link.Result{Verdict: gather.VerdictAnswered, Answer: answer}, names, typical)
+	d.end(start, r, sent, link.Result{Verdict: gather.VerdictAnswered, Answer: answer}, names, typical)
 	if n := countSent(d, start.Add(typical), 10); n != 1 {
 		t.Errorf("%d requests sent at once to a server that reported that it is cold, want 1", n)
 	}
@@ -147,7 +147,7 @@
 
 // limit makes a server name a limit.
 func limit(d *dispatch, now time.Time, server ident.Server, text string) {
-	d.end(now, d.table.Match("h", "/"), d.balancer.Sent(now, server, typical), server, link.Result{
+	d.end(now, d.table.Match("h", "/"), sending{handle: d.balancer.Sent(now, server, typical), target: header.Target{Server: server}}, link.Result{
 		Verdict: gather.VerdictAnswered, Answer: &link.Answer{Status: http.StatusOK, Header: http.Header{"Limit": {text}}},
 	}, header.Names{Limit: "Limit"}, typical)
 }
@@ -163,8 +163,8 @@
 				now := start.Add(time.Duration(ms) * time.Millisecond)
 				c := &chooser{dispatch: d, typical: typical, maxWait: time.Second}
 				if server, capacity := c.Choose(now, "books", nil, cause); capacity == gather.CapacityNow {
-					h, _, _, _ := d.begin(now, gather.Send{Service: "books", Server: server, Cause: cause, Attempt: 1}, typical)
-					d.cancelled(h)
+					s, _ := d.begin(now, gather.Send{Service: "books", Server: server, Cause: cause, Attempt: 1}, typical)
+					d.cancelled(s.handle)
 					sent++
 				}
 			}
@@ -249,3 +249,54 @@
 		}
 	})
 }
+
+// rest makes a server refuse a request and name a time in which it wants none.
+func rest(d *dispatch, now time.Time, server ident.Server, text string) serverChange {
+	s := sending{handle: d.balancer.Sent(now, server, typical), target: header.Target{Server: server}, start: d.roster.Member(server).Entry().Start()}
+	return d.end(now, d.table.Match("h", "/"), s, link.Result{
+		Verdict: gather.VerdictRefused, Answer: &link.Answer{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {text}}},
+	}, header.Names{}, typical)
+}
+
+// A server wants no requests: no kind of attempt may reach it, and what only such servers could take must not wait.
+func TestRest(t *testing.T) {
+	t.Run("holds for first attempts, hedges and retries alike", func(t *testing.T) {
+		for _, cause := range []gather.Cause{gather.CauseFirst, gather.CauseLate, gather.CauseEnded, gather.CauseWaited} {
+			d := newTestDispatch(t, "a", "b")
+			rest(d, start, "a", "2")
+			rest(d, start, "b", "3")
+			c := &chooser{dispatch: d, typical: typical, maxWait: time.Second}
+			if server, capacity := c.Choose(start.Add(time.Second), "books", nil, cause); capacity != gather.CapacityNone {
+				t.Errorf("cause %v: got server %q with capacity %v, want none", cause, server, capacity)
+			}
+			if server, _ := c.Choose(start.Add(2*time.Second), "books", nil, cause); server != "a" {
+				t.Errorf("cause %v: got server %q after the rest, want a", cause, server)
+			}
+		}
+	})
+	t.Run("holds for an attempt that waited for its connection", func(t *testing.T) {
+		d := newTestDispatch(t, "a")
+		s, _ := d.begin(start, gather.Send{Service: "books", Server: "a"}, typical)
+		rest(d, start, "a", "2")
+		if d.mayReceive(start.Add(time.Second), s) {
+			t.Error("the attempt may be sent")
+		}
+	})
+	t.Run("tells when enough services have a server again", func(t *testing.T) {
+		d := newTestDispatch(t, "a", "b")
+		rest(d, start, "a", "2")
+		rest(d, start, "b", "3")
+		for need, want := range map[int]time.Duration{1: 0, 2: 2 * time.Second} {
+			w := d.withholding(start, []ident.Service{"books", "others"}, need)
+			if want == 0 != w.Until.IsZero() || want > 0 && !w.Until.Equal(start.Add(want)) {
+				t.Errorf("%d services have a server at %v, want after %v", need, w.Until, want)
+			}
+		}
+	})
+	t.Run("is not inferred from a text that cannot be read", func(t *testing.T) {
+		d := newTestDispatch(t, "a")
+		if c := rest(d, start, "a", "soon"); c.badRetryAfter == nil || !c.restUntil.IsZero() {
+			t.Errorf("got %+v, want the text reported as unreadable", c)
+		}
+	})
+}
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -253,6 +253,7 @@
 			e.log.Info(componentTraffic, "traffic", fields...)
 		}
 		e.reportLimited()
+		e.reportRests()
 		e.settle(time.Now())
 		if n%summaryRounds == 0 {
 			e.logState()
@@ -282,6 +283,17 @@
 	}
 }
 
+// reportRests logs the servers that want requests again since the last call.
+func (e *Edge) reportRests() {
+	e.dispatch.mu.Lock()
+	ended := e.dispatch.roster.EndRests(time.Now())
+	e.dispatch.mu.Unlock()
+	for _, r := range ended {
+		e.log.Info(componentServers, "server may get requests again", "server", r.Server, "until", r.Until.UTC().Format(time.RFC3339Nano),
+			"withheld", r.Withheld)
+	}
+}
+
 // logState logs the counters and the state of the VM.
 func (e *Edge) logState() {
 	d := e.dispatch
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -241,6 +241,7 @@
 	m := peers.Message{From: e.digest(now)}
 	e.dispatch.mu.Lock()
 	m.ServerLimits = e.dispatch.pacer.Reports(now, false)
+	m.ServerStatements = e.dispatch.roster.Reports(now)
 	e.dispatch.mu.Unlock()
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
@@ -349,7 +350,7 @@
 	e.quota.ApplyReports(now, m.From.Process(), m.From.Teams)
 	e.quota.CapLevels(now, m.Levels)
 	e.quotaMu.Unlock()
-	e.applyLimitReports(now, m)
+	e.applyServerReports(now, m)
 	if len(events) > 0 {
 		e.handleMemberEvents(e.core(), events)
 	}
@@ -361,8 +362,8 @@
 	}
 }
 
-// applyLimitReports applies what another VM has heard of the limits of servers, and logs the changes.
-func (e *Edge) applyLimitReports(now time.Time, m peers.Message) {
+// applyServerReports applies what another VM has heard from servers, and logs the changes.
+func (e *Edge) applyServerReports(now time.Time, m peers.Message) {
 	d := e.dispatch
 	services := make(map[ident.Server]ident.Service)
 	d.mu.Lock()
@@ -372,7 +373,12 @@
 			services[server] = known.Entry().Service
 		}
 	}
+	avoided := d.roster.ApplyReports(now, m.ServerStatements)
 	d.mu.Unlock()
+	for _, server := range avoided {
+		e.log.Info(componentServers, "server is used after the others", "server", server, "leaving", m.ServerStatements[server].Leaving,
+			"restMs", m.ServerStatements[server].RestMs, "from", m.From.VM)
+	}
 	for server, c := range changes {
 		e.logLimitChange(server, services[server], c, string(m.From.VM))
 	}
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -63,6 +63,8 @@
 	// parts holds the answer to each part, nil for a missing one.
 	parts   []*link.Answer
 	missing []ident.Service
+	// short is the number of missing parts that a success lacks.
+	short int
 	// lastFailed is the last answer with which a server reported a failure.
 	lastFailed *link.Answer
 	sends      int
@@ -174,6 +176,7 @@
 	j.out.enough = j.state.CoverageMet()
 	j.out.ran = j.state.MayHaveRun()
 	j.out.missing = j.state.Missing()
+	j.out.short = j.state.NumShort()
 	j.out.skipped = j.chooser.skipped
 	return j.out
 }
@@ -222,20 +225,21 @@
 	defer j.running.Done()
 	e := j.edge
 	began := time.Now()
-	handle, target, connections, ok := e.dispatch.begin(began, s, j.typical)
+	sent, ok := e.dispatch.begin(began, s, j.typical)
 	if !ok {
 		j.results <- attemptResult{s, link.Result{Verdict: gather.VerdictUnsent}}
 		return
 	}
 	res := e.exchange(j.attemptsCtx, link.Call{
-		Target: target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
-		Deadline: j.expires(), MaxConnections: connections, Permit: permit,
+		Target: sent.target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
+		Deadline: j.expires(), MaxConnections: sent.connections, Permit: permit,
+		Allowed: func() bool { return e.dispatch.mayReceive(time.Now(), sent) },
 	})
 	now := time.Now()
 	if j.attemptsCtx.Err() != nil || res.Revoked {
-		e.dispatch.cancelled(handle)
+		e.dispatch.cancelled(sent.handle)
 	} else {
-		e.logServerChange(s.Server, s.Service, e.dispatch.end(now, j.rq.route, handle, s.Server, res, e.names, now.Sub(began)))
+		e.logServerChange(s.Server, s.Service, e.dispatch.end(now, j.rq.route, sent, res, e.names, now.Sub(began)))
 		e.logAttempt(j.rq, s, res, now.Sub(began))
 	}
 	j.results <- attemptResult{s, res}
@@ -302,6 +306,17 @@
 	if change.badLimit != "" {
 		e.log.Warn(componentServers, "limit of a server cannot be read, ignored", "server", server, "service", service, "text", change.badLimit)
 	}
+	if change.leaving {
+		e.log.Info(componentServers, "server says that it leaves", "server", server, "service", service, "from", "server")
+	}
+	if !change.restUntil.IsZero() {
+		e.log.Warn(componentServers, "server wants no requests", "server", server, "service", service, "restMs", ms(time.Until(change.restUntil)),
+			"until", change.restUntil.UTC().Format(time.RFC3339Nano))
+	}
+	if change.badRetryAfter != nil {
+		e.log.Warn(componentServers, "Retry-After of a server cannot be read, ignored", "server", server, "service", service,
+			"text", change.badRetryAfter)
+	}
 	if change.coldFor > 0 {
 		e.log.Info(componentServers, "server is cold", "server", server, "service", service, "coldMs", ms(change.coldFor))
 	}
--- a/internal/tier/edge/request_test.go
+++ b/internal/tier/edge/request_test.go
@@ -13,7 +13,6 @@
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
-	"kumquatreel.example/kumquatreel/internal/tier/place"
 	"kumquatreel.example/kumquatreel/internal/tier/roster"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
 )
@@ -165,7 +164,7 @@
 				res, took = link.Result{Verdict: gather.VerdictAnswered}, part
 				answered++
 			}
-			e.dispatch.end(start, rq.route, place.Handle{}, "a-1", res, header.Names{}, took)
+			e.dispatch.end(start, rq.route, sending{target: header.Target{Server: "a-1"}}, res, header.Names{}, took)
 		}
 	}
 	if answered < shards {
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -298,23 +298,27 @@
 	if n := len(out.missing); n > 0 {
 		missing = ", missing " + strconv.Itoa(n) + " parts, one of them " + string(out.missing[0])
 	}
+	now := time.Now()
+	w := e.dispatch.withholding(now, out.missing, out.short)
+	details := append(out.details(), "saidLeaving", w.Leaving, "resting", w.Resting)
 	if !out.ran {
-		retryAfter := admit.RetryAfter(time.Until(rq.hard), e.dispatch.random())
-		return refusal{
-			status: http.StatusServiceUnavailable, text: "no server has room" + missing, retryAfter: retryAfter, details: out.details(),
+		delay := admit.RetryAfter(rq.hard.Sub(now), e.dispatch.random())
+		if !w.Until.IsZero() {
+			delay = admit.RetryAfterRest(w.Until.Sub(now), rq.hard.Sub(now), e.dispatch.random())
 		}
+		return refusal{status: http.StatusServiceUnavailable, text: "no server has room" + missing, retryAfter: delay, details: details}
 	}
 	if out.reason == gather.ReasonDeadline {
-		return refusal{status: http.StatusGatewayTimeout, text: "the time is over" + missing, details: out.details()}
+		return refusal{status: http.StatusGatewayTimeout, text: "the time is over" + missing, details: details}
 	}
-	return refusal{status: http.StatusBadGateway, text: "too few servers answered" + missing, details: out.details()}
+	return refusal{status: http.StatusBadGateway, text: "too few servers answered" + missing, details: details}
 }
 
 // details returns the values that explain a request without an answer, as keys and values for the log.
 func (o outcome) details() []any {
 	return []any{
 		"sends", o.sends, "refused", o.refused, "passedCold", o.skipped.Cold, "passedFull", o.skipped.Full, "passedSlow", o.skipped.Slow,
-		"passedFailing", o.skipped.Failing, "passedLimited", o.skipped.Limited, "passedDown", o.skipped.Down,
+		"passedFailing", o.skipped.Failing, "passedLimited", o.skipped.Limited, "passedResting", o.skipped.Resting, "passedDown", o.skipped.Down,
 	}
 }
 
--- a/internal/tier/gather/gather.go
+++ b/internal/tier/gather/gather.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -202,6 +203,12 @@
 	return out
 }
 
+// NumShort returns how many further parts must be answered until CoverageMet.
+func (s *State) NumShort() int {
+	required := max(1, int(math.Ceil(s.spec.MinCoverage*float64(len(s.shards))-1e-9)))
+	return max(0, required-s.numAnswered)
+}
+
 // checkDone ends the request if it is answered, can no longer be answered or has passed a deadline.
 func (s *State) checkDone(now time.Time) {
 	switch {
--- a/internal/tier/header/header.go
+++ b/internal/tier/header/header.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/base/units"
 )
 
 // Names holds the header names and paths of one platform. Header names are in canonical form.
@@ -35,6 +36,8 @@
 	ColdMs string
 	// Limit is the rate, in requests per second, that a server in need takes from the whole fleet, in the format of ParseRate.
 	Limit string
+	// Leaving is "1" in the answers of a server that leaves.
+	Leaving string
 	// PartSignatures lists the signatures of the parts of an answer merged from several shards.
 	PartSignatures string
 	// MissingParts is the number of shards missing from an answer.
@@ -48,7 +51,9 @@
 }
 
 // ForVMs reports whether a header of a server's answer is meant for VMs and is not forwarded to clients.
-func (n Names) ForVMs(name string) bool { return name == n.Load || name == n.ColdMs || name == n.Limit }
+func (n Names) ForVMs(name string) bool {
+	return name == n.Load || name == n.ColdMs || name == n.Limit || name == n.Leaving
+}
 
 // DirectoryNames holds the field names of a directory call and its answer.
 type DirectoryNames struct {
@@ -105,7 +110,21 @@
 	if err != nil || !(n >= 0 && n < float64(math.MaxInt64/time.Millisecond)) {
 		return 0, false
 	}
-	return time.Duration(n * float64(time.Millisecond)), true
+	return units.Millis(n), true
+}
+
+// ParseRetryAfter parses the values of Retry-After, each a number of seconds that may have a fraction, and returns the longest. It returns
+// false if there is none, or if one is malformed, negative or not finite. A time of day counts as malformed.
+func ParseRetryAfter(values []string) (time.Duration, bool) {
+	longest := time.Duration(0)
+	for _, text := range values {
+		n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || !(n >= 0) || math.IsInf(n, 1) {
+			return 0, false
+		}
+		longest = max(longest, units.Seconds(n))
+	}
+	return longest, len(values) > 0
 }
 
 // ParseRate parses a rate per second, a decimal number. It returns false if the text is malformed, negative or not finite.
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -21,6 +21,8 @@
 	dialTimeout = 300 * time.Millisecond
 	// maxConnWait is how long a request waits for a free connection to its server.
 	maxConnWait = 60 * time.Millisecond
+	// staleChoice is the wait for a connection after which a call asks again whether its server may receive it.
+	staleChoice = 20 * time.Millisecond
 	// ackTimeout is how long sent bytes may stay unacknowledged before the connection is closed.
 	ackTimeout = time.Second
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux, which package syscall does not define.
@@ -47,6 +49,9 @@
 	MaxConnections int
 	// Permit allows the call to be revoked until it is sent. It must not be nil.
 	Permit *Permit
+	// Allowed reports whether the server may still receive the call. It is asked before a call is sent that has waited for its
+	// connection. Nil allows it.
+	Allowed func() bool
 }
 
 // Answer is the complete answer of a server.
@@ -100,13 +105,15 @@
 // server can stop work.
 func (t *Transport) Do(ctx context.Context, c Call) Result {
 	p := t.pool(c.Target)
+	began := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	cn, dialed, err := p.get(ctx, c.MaxConnections)
 	if err != nil {
 		return Result{Verdict: gather.VerdictUnsent, Err: err, Unresponsive: !errors.Is(err, errBusy) && !errors.Is(err, context.Canceled), Dialed: dialed}
 	}
-	if !c.Permit.consume() {
+	withheld := time.Since(began) > staleChoice && c.Allowed != nil && !c.Allowed()
+	if withheld || !c.Permit.consume() {
 		p.put(cn, true)
 		return Result{Verdict: gather.VerdictUnsent, Err: errRevoked, Revoked: true, Dialed: dialed}
 	}
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -8,6 +8,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 	"kumquatreel.example/kumquatreel/internal/limit/quota"
+	"kumquatreel.example/kumquatreel/internal/tier/roster"
 )
 
 //go:generate go tool -modfile=../../../tools/go.mod enumer -type=Phase -trimprefix=Phase -transform=title-lower -output=enums.go
@@ -86,6 +87,8 @@
 	Relayed []Relay `json:"y,omitempty"`
 	// ServerLimits is what the sender has heard of the limits of servers.
 	ServerLimits map[ident.Server]pacer.Report `json:"s,omitempty"`
+	// ServerStatements is what the sender has heard lately of servers that leave or want no requests.
+	ServerStatements map[ident.Server]roster.Report `json:"o,omitempty"`
 	// Levels are the remaining tokens of teams that are close to their limit, in a reply to a VM outside the core.
 	Levels map[ident.Team]float64 `json:"l,omitempty"`
 }
--- a/internal/tier/place/choose.go
+++ b/internal/tier/place/choose.go
@@ -38,13 +38,13 @@
 // Skipped counts the servers that were not eligible for an attempt, by reason.
 type Skipped struct {
 	// Cold servers have reached their warm-up rate, Full ones have no free connection, Slow ones have too long a queue, Failing ones fail
-	// too often for the retry budget, Limited ones name a limit that allows no further request, and Down ones are in backoff because they did
-	// not answer or could not be reached.
-	Cold, Full, Slow, Failing, Limited, Down int
+	// too often for the retry budget, Limited ones name a limit that allows no further request, Resting ones want no requests for a time, and
+	// Down ones are in backoff because they did not answer or could not be reached.
+	Cold, Full, Slow, Failing, Limited, Resting, Down int
 }
 
-// AtCapacity returns the number of servers that were skipped for lack of capacity, which may have some soon. Limited servers are not
-// counted: their capacity is known.
+// AtCapacity returns the number of servers that were skipped for lack of capacity, which may have some soon. Limited and
+// resting servers are not counted: it is known when they have some.
 func (s Skipped) AtCapacity() int { return s.Cold + s.Full + s.Slow + s.Failing }
 
 // MaxWait returns the longest time that a request may wait in a server's queue if its answer is due after the given time. It is longer
@@ -74,6 +74,8 @@
 	for _, cand := range candidates {
 		switch {
 		case cand.Excluded:
+		case cand.Resting:
+			skipped.Resting++
 		case cand.ColdLimited:
 			skipped.Cold++
 		case cand.Limited:
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -59,6 +59,8 @@
 	Cold, ColdLimited bool
 	// Limited is true while the limit that the server names allows the VM no further request, and Scarce while it allows few.
 	Limited, Scarce bool
+	// Resting is true while the server wants no requests.
+	Resting bool
 	// MaxInFlight is how many requests the VM may have in flight to the server, 0 for any number.
 	MaxInFlight int
 	// Excluded is true if the server must not get this request, since it has had it already.
--- a/internal/tier/roster/doc.go
+++ b/internal/tier/roster/doc.go
@@ -4,4 +4,12 @@
 // publishes, in any order. For a short time after its removal a server is
 // still used if there is no other, since entries expire while the store is
 // unavailable and come back when it returns.
+//
+// What is known of a server comes from three sources. In order of precedence:
+// what it says in its answers to this VM, until another start of it is known;
+// its entry in the store; and what other VMs have heard from it, which only
+// puts it behind the other servers of its service.
+//
+// Load patterns: servers leave or want no more requests while their entries
+// say that they are ready, since the store is away or the VM is cut off from it.
 package roster
--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -74,6 +74,8 @@
 	members    map[ident.Server]*Member
 	services   map[ident.Service][]*Member
 	outDomains sets.Set[ident.Domain]
+	// statements holds what servers say of themselves in their answers. It outlives their entries, which may come back.
+	statements map[ident.Server]*statement
 }
 
 // New returns an empty Roster. Servers continue to serve for the time drain after they announce that they leave.
@@ -83,6 +85,7 @@
 // address.
 func (r *Roster) Update(now time.Time, e Entry) bool {
 	r.init()
+	r.forgetStatement(e)
 	old := r.members[e.Server]
 	m := &Member{entry: e}
 	isNew := old == nil || old.entry.Started != e.Started || old.entry.Address != e.Address
@@ -156,12 +159,15 @@
 func (r *Roster) DomainOut(d ident.Domain) bool { return r.outDomains.Has(d) }
 
 // Candidates returns the servers of a service that may receive requests, and as fallback those to use only if there is no
-// other. It excludes servers in failure domains that are out of service.
+// other. It excludes servers in failure domains that are out of service and those that have left, but not those for which Resting
+// reports true.
 func (r *Roster) Candidates(now time.Time, s ident.Service) (usable, fallback []*Member) {
 	for _, m := range r.services[s] {
+		st := r.statements[m.entry.Server]
 		switch {
 		case r.outDomains.Has(m.entry.Domain):
-		case !m.Leaving():
+		case st != nil && !st.usable(now, r.drain):
+		case !m.Leaving() && (st == nil || !st.avoided(now)):
 			usable = append(usable, m)
 		case m.usableAsFallback(now, r.drain):
 			fallback = append(fallback, m)
@@ -205,6 +211,7 @@
 		r.members = make(map[ident.Server]*Member)
 		r.services = make(map[ident.Service][]*Member)
 		r.outDomains = make(sets.Set[ident.Domain])
+		r.statements = make(map[ident.Server]*statement)
 	}
 }
 
--- /dev/null
+++ b/internal/tier/roster/statement.go
@@ -0,0 +1,250 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+)
+
+const (
+	// maxRest bounds the time for which a server can keep requests away with one answer.
+	maxRest = time.Hour
+	// reportWindow is how long after an answer what it says is reported to other VMs, and maxReports the number of servers in a report.
+	reportWindow = 2 * time.Second
+	maxReports   = 64
+	// A statement of a server without an entry is kept for statementRetention, in case the entry comes back, and at most maxStatements
+	// of them.
+	statementRetention = time.Hour
+	maxStatements      = 4096
+)
+
+// Start identifies one start of a server. Another start of the same server has said nothing yet.
+type Start struct {
+	// Started is the start of the server's process as its entry names it.
+	Started int64
+	Address string
+}
+
+// Start returns the start that the entry belongs to.
+func (e Entry) Start() Start { return Start{Started: e.Started, Address: e.Address} }
+
+// statement is what a server has said of itself in its answers since a start.
+type statement struct {
+	start Start
+	// leavingSince is when this VM first heard that the server leaves, or zero. restUntil is the end of the time in which the server wants
+	// nothing from this VM.
+	leavingSince, restUntil time.Time
+	// othersLeaving says that another VM has heard that the server leaves, othersUntil is until when it wants nothing from another VM.
+	othersLeaving bool
+	othersUntil   time.Time
+	// heardAt is when this VM last heard one of these, updatedAt when it last heard any, also from another VM.
+	heardAt, updatedAt time.Time
+	// withheld counts the times that the server was passed over since restUntil was set.
+	withheld int
+}
+
+// Rest is a time in which a server wanted nothing, and how often it was passed over meanwhile.
+type Rest struct {
+	Server   ident.Server
+	Until    time.Time
+	Withheld int
+}
+
+// Report is what a VM has heard from a server, for other VMs.
+type Report struct {
+	Started int64 `json:"b"`
+	Leaving bool  `json:"l,omitempty"`
+	// RestMs is for how much longer the server wants nothing from the VM, in milliseconds.
+	RestMs int64 `json:"r,omitempty"`
+}
+
+// HearLeaving records that a server says in an answer that it leaves, and reports whether that is new. start is the start that the request
+// was sent to. Only another start ends it, whatever the server's entries say.
+func (r *Roster) HearLeaving(now time.Time, s ident.Server, start Start) bool {
+	st := r.stateOf(now, s, start)
+	if st == nil {
+		return false
+	}
+	st.heardAt = now
+	if !st.leavingSince.IsZero() {
+		return false
+	}
+	st.leavingSince = now
+	return true
+}
+
+// HearRest records that a server wants nothing from this VM for a time, and returns its end. It returns false if an earlier answer named
+// a later end or if the answer is one of an earlier start.
+func (r *Roster) HearRest(now time.Time, s ident.Server, start Start, rest time.Duration) (time.Time, bool) {
+	st := r.stateOf(now, s, start)
+	until := now.Add(min(rest, maxRest))
+	if st == nil || !until.After(st.restUntil) {
+		return time.Time{}, false
+	}
+	if !now.Before(st.restUntil) {
+		st.withheld = 0
+	}
+	st.restUntil, st.heardAt = until, now
+	return until, true
+}
+
+// stateOf returns the statement of a start of a server, which is created if there is none, or nil if the server has started again since.
+func (r *Roster) stateOf(now time.Time, s ident.Server, start Start) *statement {
+	r.init()
+	if m := r.members[s]; m != nil && m.entry.Start() != start {
+		return nil
+	}
+	st := r.statements[s]
+	if st == nil || st.start != start {
+		st = &statement{start: start}
+		r.statements[s] = st
+	}
+	st.updatedAt = now
+	return st
+}
+
+// Resting reports whether a server wants nothing from this VM now.
+func (r *Roster) Resting(now time.Time, s ident.Server) bool {
+	st := r.statements[s]
+	return st != nil && now.Before(st.restUntil)
+}
+
+// Withheld counts that a resting server was passed over.
+func (r *Roster) Withheld(s ident.Server) {
+	if st := r.statements[s]; st != nil {
+		st.withheld++
+	}
+}
+
+// MayReceive reports whether a request that was chosen for a start of a server may still be sent.
+func (r *Roster) MayReceive(now time.Time, s ident.Server, start Start) bool {
+	m, st := r.members[s], r.statements[s]
+	if m == nil || m.entry.Start() != start {
+		return false
+	}
+	return st == nil || !now.Before(st.restUntil) && st.usable(now, r.drain)
+}
+
+// usable reports whether the server may still be used as far as it has said that it leaves, given the drain time.
+func (st *statement) usable(now time.Time, drain time.Duration) bool {
+	return st.leavingSince.IsZero() || now.Sub(st.leavingSince) < time.Duration(drainUseFraction*float64(drain))
+}
+
+// avoided reports whether other servers are to be used first.
+func (st *statement) avoided(now time.Time) bool {
+	return !st.leavingSince.IsZero() || st.othersLeaving || now.Before(st.othersUntil)
+}
+
+// Withholding describes why servers of a service get no requests.
+type Withholding struct {
+	// Leaving and Resting are the numbers of servers that have said that they leave, or that they want nothing now.
+	Leaving, Resting int
+	// Until is the first instant at which a resting one may get requests again, zero if there is none or if another server may have some now.
+	Until time.Time
+}
+
+// Withholding returns why servers of a service get no requests.
+func (r *Roster) Withholding(now time.Time, s ident.Service) Withholding {
+	var out Withholding
+	usable, fallback := r.Candidates(now, s)
+	for _, m := range r.services[s] {
+		if st := r.statements[m.entry.Server]; m.Leaving() || st != nil && !st.leavingSince.IsZero() {
+			out.Leaving++
+		}
+	}
+	for _, m := range slices.Concat(usable, fallback) {
+		if r.Resting(now, m.entry.Server) {
+			out.Resting++
+			if until := r.statements[m.entry.Server].restUntil; out.Until.IsZero() || until.Before(out.Until) {
+				out.Until = until
+			}
+		}
+	}
+	if out.Resting < len(usable)+len(fallback) {
+		out.Until = time.Time{}
+	}
+	return out
+}
+
+// EndRests returns the rests that have ended since the last call, in order of names.
+func (r *Roster) EndRests(now time.Time) []Rest {
+	var out []Rest
+	for name, st := range r.statements {
+		if !st.restUntil.IsZero() && !now.Before(st.restUntil) {
+			out = append(out, Rest{Server: name, Until: st.restUntil, Withheld: st.withheld})
+			st.restUntil, st.withheld = time.Time{}, 0
+		}
+	}
+	slices.SortFunc(out, func(a, b Rest) int { return cmp.Compare(a.Server, b.Server) })
+	return out
+}
+
+// Reports returns what this VM has heard from servers itself lately.
+func (r *Roster) Reports(now time.Time) map[ident.Server]Report {
+	var out map[ident.Server]Report
+	for name, st := range r.statements {
+		if st.heardAt.IsZero() || now.Sub(st.heardAt) > reportWindow || len(out) >= maxReports {
+			continue
+		}
+		if out == nil {
+			out = make(map[ident.Server]Report)
+		}
+		out[name] = Report{
+			Started: st.start.Started, Leaving: !st.leavingSince.IsZero(), RestMs: max(0, st.restUntil.Sub(now).Milliseconds()),
+		}
+	}
+	return out
+}
+
+// ApplyReports applies what another VM has heard from servers and returns those of which something is new. Such a server is a fallback: the
+// others are used first, but it is never kept from requests that only it can take, since it has turned none of this VM's away.
+func (r *Roster) ApplyReports(now time.Time, reports map[ident.Server]Report) []ident.Server {
+	var changed []ident.Server
+	for name, rep := range reports {
+		m := r.members[name]
+		if m == nil || m.entry.Started != rep.Started || rep.RestMs < 0 || !rep.Leaving && rep.RestMs == 0 {
+			continue
+		}
+		st := r.stateOf(now, name, m.entry.Start())
+		if !st.avoided(now) {
+			changed = append(changed, name)
+		}
+		rest := time.Duration(min(rep.RestMs, maxRest.Milliseconds())) * time.Millisecond
+		st.othersLeaving = st.othersLeaving || rep.Leaving
+		st.othersUntil = later(st.othersUntil, now.Add(rest))
+	}
+	slices.Sort(changed)
+	return changed
+}
+
+// PruneStatements drops the statements that no longer matter. That a server leaves is kept as long as the server has an entry, and for
+// a while after that.
+func (r *Roster) PruneStatements(now time.Time) {
+	var gone []ident.Server
+	for name, st := range r.statements {
+		switch {
+		case st.leavingSince.IsZero() && !st.othersLeaving && !now.Before(st.restUntil) && !now.Before(st.othersUntil):
+			delete(r.statements, name)
+		case r.members[name] == nil:
+			gone = append(gone, name)
+		}
+	}
+	slices.SortFunc(gone, func(a, b ident.Server) int { return r.statements[b].updatedAt.Compare(r.statements[a].updatedAt) })
+	for i, name := range gone {
+		if i >= maxStatements || now.Sub(r.statements[name].updatedAt) > statementRetention {
+			delete(r.statements, name)
+		}
+	}
+}
+
+// forgetStatement drops what an earlier start of a server has said.
+func (r *Roster) forgetStatement(e Entry) {
+	if st := r.statements[e.Server]; st != nil && st.start != e.Start() {
+		delete(r.statements, e.Server)
+	}
+}
+
+// NumStatements returns the number of servers of which a statement is kept.
+func (r *Roster) NumStatements() int { return len(r.statements) }
