limit/slots, owner: a server that wants no requests for a time, on our own interface too

Cause: the same fault in our own tier: after a refusal an owner halved what it has in flight and went on sending. (That a server drains is said in a header of its answers and kept there already.) Change: Retry-After on a refusal with 503 closes the scheduler of the server until its end; what is offered or queued is refused at once, so that the entry VM asks another replica. Another incarnation ends it. The stand-in servers name such times.

--- a/internal/limit/slots/event.go
+++ b/internal/limit/slots/event.go
@@ -45,6 +45,8 @@
 	// Limit is the rate, in requests per second, that the server names as what it takes from all VMs. It only holds if Limited is set.
 	Limit   float64
 	Limited bool
+	// Rest is the time for which the server wants no attempts, named with a refusal.
+	Rest time.Duration
 	// Draining is set if the server has announced that it is shutting down.
 	Draining bool
 }
--- a/internal/limit/slots/slots.go
+++ b/internal/limit/slots/slots.go
@@ -20,7 +20,8 @@
 	maxBackoff     = 2 * time.Second
 	// idleTimeout is the time without a success after which an idle warm server is probed again.
 	idleTimeout = 30 * time.Second
-	// maxWait is the longest wait for the limit of a server that is told from a longer one.
+	// maxWait is the longest wait for the limit of a server that is told from a longer one, and the longest time for which a server can
+	// keep attempts away.
 	maxWait = time.Hour
 )
 
@@ -52,6 +53,9 @@
 	// reportedWarm is set while only another VM has found the server warm.
 	reportedWarm bool
 	pace         pace
+	// restUntil is the end of the time in which the server wants no attempts, if resting is set.
+	resting   bool
+	restUntil clock.Instant
 	// wasReturning is Env.Returning of the previous step.
 	wasReturning bool
 }
@@ -110,7 +114,8 @@
 
 // Limit returns how many attempts may be in flight now.
 func (s *Scheduler) Limit(now clock.Instant, env Env) int {
-	if !env.Usable || s.draining || env.Slots <= 0 {
+	s.resting = s.resting && !now.Passed(s.restUntil)
+	if !env.Usable || s.draining || s.resting || env.Slots <= 0 {
 		return 0
 	}
 	if s.warmth == WarmthWarm && now.MaxSince(s.lastSuccess) > idleTimeout && len(s.inFlight) == 0 {
@@ -232,6 +237,7 @@
 		s.markCold(r.Incarnation)
 	}
 	s.draining = s.draining || r.Draining
+	s.rest(now, r.Rest)
 	switch {
 	case r.ConnectionFailed:
 		s.connectionFailed(now)
@@ -245,6 +251,15 @@
 	}
 }
 
+// rest records for how long the server wants no attempts. A shorter time than the one in force changes nothing.
+func (s *Scheduler) rest(now clock.Instant, d time.Duration) {
+	until := now.Add(min(d, maxWait))
+	if d <= 0 || s.resting && until.Upper() <= s.restUntil.Upper() {
+		return
+	}
+	s.resting, s.restUntil = true, until
+}
+
 // connectionFailed starts a backoff after a failed connection, since the server may be down or cold.
 func (s *Scheduler) connectionFailed(now clock.Instant) {
 	s.startProbing(now)
@@ -272,7 +287,7 @@
 	s.slowCount = 0
 	s.slowSuspected = false
 	s.incarnation = incarnation
-	s.draining = false
+	s.draining, s.resting = false, false
 }
 
 // completed updates the limits and the warm-up state after a successful attempt.
--- a/internal/limit/slots/slots_test.go
+++ b/internal/limit/slots/slots_test.go
@@ -244,6 +244,35 @@
 	})
 }
 
+// A server refuses an attempt and names a time in which it wants none.
+func TestRest(t *testing.T) {
+	refuse := func(h *harness, rest time.Duration) {
+		id, _ := h.offer("a")
+		h.done(id, slots.Result{Outcome: fault.OutcomeRefused, Shed: true, Incarnation: "1", Rest: rest})
+	}
+	t.Run("refuses at once what comes before its end, also what is queued", func(t *testing.T) {
+		h := newHarness(t)
+		h.fill()
+		h.done(slots.ID("1"), slots.Result{Outcome: fault.OutcomeRefused, Shed: true, Incarnation: "1", Rest: 2 * time.Second})
+		_, acts := h.offer("a")
+		assertRefused(t, acts, fault.CodeUnavailable)
+		if n := h.scheduler.Waiting(); n > 0 {
+			t.Errorf("%d attempts wait, want none", n)
+		}
+	})
+	t.Run("ends, and a shorter time does not end it sooner", func(t *testing.T) {
+		h := newHarness(t)
+		first, _ := h.offer("a")
+		h.done(first, slots.Result{Outcome: fault.OutcomeRefused, Incarnation: "1", Rest: 2 * time.Second})
+		refuse(h, time.Millisecond)
+		h.now += time.Second
+		_, acts := h.offer("a")
+		assertRefused(t, acts, fault.CodeUnavailable)
+		h.now += time.Second
+		assertFills(t, h, 1)
+	})
+}
+
 // A server in need names a limit: a queue that is sent as fast as slots become free exceeds it.
 func TestPace(t *testing.T) {
 	limited := func(limit float64) slots.Result {
--- a/internal/node/daemon/scenario_test.go
+++ b/internal/node/daemon/scenario_test.go
@@ -454,3 +454,34 @@
 		}
 	})
 }
+
+// Servers refuse all parts and name a time in which they want none; the parts must go to the others meanwhile.
+func TestServerRestsUnderLoad(t *testing.T) {
+	const rest, notice, most = 3 * time.Second, 500 * time.Millisecond, 2
+	withFleet(t, func(t *testing.T, r *testFleet) {
+		var resting []*server.Server
+		r.eachServer(func(s *server.Server) {
+			if len(resting) < 3 {
+				resting = append(resting, s)
+			}
+		})
+		r.underLoad(50, 10*time.Second, func() {
+			for _, s := range resting {
+				s.SetFault(server.Fault{Rest: rest.Seconds()})
+			}
+			time.Sleep(rest)
+		})
+		for _, s := range resting {
+			all := s.Record().Arrivals
+			n := 0
+			for _, at := range all {
+				if since := at.Sub(all[0]); since > notice && since < rest {
+					n++
+				}
+			}
+			if len(all) == 0 || n > most {
+				t.Errorf("%s received %d parts, %d of them while it wanted none, want some and at most %d", s.Name(), len(all), n, most)
+			}
+		}
+	})
+}
--- a/internal/node/owner/backend.go
+++ b/internal/node/owner/backend.go
@@ -33,6 +33,7 @@
 	HeaderPartial     = "Partial"
 	HeaderNotRun      = "Not-Run"
 	HeaderLimit       = "Request-Limit"
+	HeaderRetryAfter  = "Retry-After"
 )
 
 // responseGracePeriod is added to a part's remaining time, so that a backend server's own time-out response is received.
@@ -139,6 +140,7 @@
 	}
 	switch resp.StatusCode {
 	case http.StatusServiceUnavailable:
+		result.Rest, _ = header.ParseRetryAfter(resp.Header.Values(HeaderRetryAfter))
 		result.Shed = outcome == fault.OutcomeRefused && !result.Draining
 		if result.Draining {
 			return failed(reply, outcome, fault.CodeLeaving, result)
--- a/internal/stand/server/model.go
+++ b/internal/stand/server/model.go
@@ -47,7 +47,7 @@
 	Late            int            `json:"late"`
 	KeysSeen        int            `json:"keysSeen"`
 	LastStart       time.Time      `json:"lastStart"`
-	// Arrivals holds the times of the parts that arrived while the server named a limit, refused ones included.
+	// Arrivals holds the times of the parts that arrived while the server named a limit or a rest, refused ones included.
 	Arrivals []time.Time    `json:"-"`
 	Teams    map[string]int `json:"teams"`
 }
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -79,6 +79,8 @@
 	DropAnswer bool `json:"dropAnswer"`
 	// Limit, if above 0, is the rate in requests per second that the server names in its answers.
 	Limit float64 `json:"limit"`
+	// Rest, if above 0, refuses all parts and names this number of seconds as the time in which the server wants none.
+	Rest float64 `json:"rest"`
 	// SlowFactor multiplies the service time if it is above zero.
 	SlowFactor float64 `json:"slow"`
 }
@@ -270,8 +272,10 @@
 // acquireSlot waits for a slot and reports whether it got one; otherwise it has written the refusal.
 func (s *Server) acquireSlot(ctx context.Context, w http.ResponseWriter, version int) bool {
 	s.mu.Lock()
-	if s.fault.Limit > 0 {
+	if s.fault.Limit > 0 || s.fault.Rest > 0 {
 		s.record.Arrivals = append(s.record.Arrivals, time.Now())
+	}
+	if s.fault.Limit > 0 {
 		w.Header().Set(owner.HeaderLimit, strconv.FormatFloat(s.fault.Limit, 'f', -1, 64))
 	}
 	for {
@@ -309,6 +313,9 @@
 	case s.draining:
 		w.Header().Set(owner.HeaderDraining, "yes")
 		return http.StatusServiceUnavailable
+	case s.fault.Rest > 0:
+		w.Header().Set(owner.HeaderRetryAfter, strconv.FormatFloat(s.fault.Rest, 'f', -1, 64))
+		return http.StatusServiceUnavailable
 	case time.Now().Before(s.downUntil):
 		return http.StatusServiceUnavailable
 	case !s.model.Versions.Has(version):
