surge, admit: servers that leave or want no requests, in the model

Cause: the model's servers could not name a time or leave, so that a policy which presses on them would not fail there. Change: servers of lab/surge name a rest for each VM and count what comes in spite of it; VMs hold a roster. When enough services have a server again is computed in admit (Reopens), out of the edge.

--- a/internal/lab/surge/server.go
+++ b/internal/lab/surge/server.go
@@ -20,6 +20,10 @@
 	Dark bool
 	// Limit, if above 0, is the rate in requests per second that it names in its answers.
 	Limit float64
+	// Rest, if above 0, is the time that it names with a refusal, in which it wants nothing from the VM.
+	Rest time.Duration
+	// Leaving says in all answers that it leaves.
+	Leaving bool
 
 	name    ident.Server
 	sim     *Simulation
@@ -30,8 +34,23 @@
 	work    time.Duration
 	// arrivals holds the times of its requests since it last began to name a limit.
 	arrivals []time.Duration
+	// rests holds the time that the server named last, by VM, and intrusions counts the requests that came in it after restNotice.
+	rests      map[*vm]rest
+	intrusions int
 }
 
+// rest is a time in which a server wants nothing from a VM.
+type rest struct {
+	from, until time.Duration
+	intrusions  int
+}
+
+// restNotice is the time after a refusal before requests count that come in spite of it.
+const restNotice = 500 * time.Millisecond
+
+// MaxIntrusions returns the highest number of requests from one VM in a time in which the server wanted nothing from it.
+func (s *Server) MaxIntrusions() int { return s.intrusions }
+
 // MaxArrivals returns the highest number of requests in any window of the given length since a time, while it named a limit.
 func (s *Server) MaxArrivals(since, window time.Duration) int {
 	most, from := 0, 0
@@ -50,6 +69,7 @@
 
 // call is an attempt at a server.
 type call struct {
+	from     *vm
 	work     time.Duration
 	deadline time.Duration
 	reply    func(v gather.Verdict, load *header.Load)
@@ -62,11 +82,13 @@
 	} else {
 		s.arrivals = nil
 	}
+	s.countIntrusion(c.from)
 	switch {
 	case s.Dark:
 		s.sim.After(c.deadline-s.sim.Now(), func() { c.reply(gather.VerdictLost, nil) })
 	case s.rng.Float64() < s.RefuseFraction, s.running >= s.sim.params.Slots && len(s.queue) >= s.sim.params.Queue:
 		s.sim.result.Rejected++
+		s.nameRest(c.from)
 		c.reply(gather.VerdictRefused, s.load())
 	case s.running >= s.sim.params.Slots:
 		s.queue = append(s.queue, c)
@@ -75,6 +97,24 @@
 	}
 }
 
+func (s *Server) countIntrusion(from *vm) {
+	r, now := s.rests[from], s.sim.Now()
+	if now > r.from+restNotice && now < r.until {
+		r.intrusions++
+		s.rests[from] = r
+		s.intrusions = max(s.intrusions, r.intrusions)
+	}
+}
+
+func (s *Server) nameRest(to *vm) {
+	if until := s.sim.Now() + s.Rest; s.Rest > 0 && s.sim.Now() >= s.rests[to].until {
+		if s.rests == nil {
+			s.rests = make(map[*vm]rest)
+		}
+		s.rests[to] = rest{from: s.sim.Now(), until: until}
+	}
+}
+
 func (s *Server) start(c *call) {
 	s.running++
 	factor := math.Exp(workSigma*s.rng.NormFloat64() - workSigma*workSigma/2)
--- a/internal/lab/surge/surge.go
+++ b/internal/lab/surge/surge.go
@@ -14,6 +14,7 @@
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/place"
+	"kumquatreel.example/kumquatreel/internal/tier/roster"
 	"kumquatreel.example/kumquatreel/internal/tier/timing"
 )
 
@@ -29,6 +30,8 @@
 	gossipInterval = 200 * time.Millisecond
 	// maxAttempts is the number of servers that a part may run on.
 	maxAttempts = 2
+	// drainTime is how long a server continues to serve after it has said that it leaves.
+	drainTime = 3 * time.Second
 )
 
 // Kind is a kind of query over all shards.
@@ -108,6 +111,7 @@
 	balancer place.Balancer
 	retries  *retry.Budget
 	pacer    pacer.Limiter
+	roster   *roster.Roster
 	latency  []timing.Estimator
 }
 
@@ -132,11 +136,16 @@
 		fleet = append(fleet, pacer.VM{Name: ident.VM(fmt.Sprintf("vm%d", i)), Busy: true})
 	}
 	for i := range p.VMs {
-		v := &vm{sim: sim, retries: retry.New(p.Retries), latency: make([]timing.Estimator, len(p.Kinds))}
+		v := &vm{sim: sim, retries: retry.New(p.Retries), roster: roster.New(drainTime), latency: make([]timing.Estimator, len(p.Kinds))}
 		for k, kind := range p.Kinds {
 			v.latency[k].Init(kind.Work)
 		}
 		v.pacer.SetFleet(sim.instant(), fleet[i].Name, fleet)
+		for shard, servers := range sim.replicas {
+			for _, srv := range servers {
+				v.roster.Update(sim.instant(), roster.Entry{Server: srv.name, Service: shard, Slots: p.Slots, Started: 1})
+			}
+		}
 		sim.vms = append(sim.vms, v)
 	}
 	return sim
@@ -261,27 +270,39 @@
 // Choose implements gather.Chooser.
 func (r *run) Choose(now time.Time, s ident.Service, exclude []ident.Server, cause gather.Cause) (ident.Server, gather.Capacity) {
 	sim := r.vm.sim
-	candidates := make([]place.Candidate, 0, sim.params.Replicas)
-	for _, srv := range sim.replicas[s] {
-		candidates = append(candidates, place.Candidate{
-			Server: srv.name, Slots: sim.params.Slots, Excluded: slices.Contains(exclude, srv.name),
-			Limited: r.vm.pacer.Delay(now, srv.name, false) > 0, Scarce: r.vm.pacer.Scarce(now, srv.name),
-		})
-	}
 	before := r.skipped.AtCapacity()
-	server, ok := r.vm.balancer.Choose(now, candidates, place.Attempt{
+	attempt := place.Attempt{
 		Typical: r.typical, FailureCost: r.due, MaxWait: place.MaxWait(false, r.due), Hedge: cause == gather.CauseLate,
 		RetryRemaining: r.vm.retries.Remaining(now, s, r.vm.share()),
-	}, &r.skipped, sim.rng)
-	switch {
-	case ok:
-		return server, gather.CapacityNow
-	case r.skipped.AtCapacity() > before:
+	}
+	usable, fallback := r.vm.roster.Candidates(now, s)
+	for _, members := range [][]*roster.Member{usable, fallback} {
+		if len(members) == 0 {
+			continue
+		}
+		if server, ok := r.vm.balancer.Choose(now, r.candidates(now, members, exclude), attempt, &r.skipped, sim.rng); ok {
+			return server, gather.CapacityNow
+		}
+	}
+	if r.skipped.AtCapacity() > before {
 		return "", gather.CapacityLater
 	}
 	return "", gather.CapacityNone
 }
 
+func (r *run) candidates(now time.Time, members []*roster.Member, exclude []ident.Server) []place.Candidate {
+	out := make([]place.Candidate, len(members))
+	for i, m := range members {
+		server := m.Entry().Server
+		out[i] = place.Candidate{
+			Server: server, Slots: m.Entry().Slots, Excluded: slices.Contains(exclude, server),
+			Limited: r.vm.pacer.Delay(now, server, false) > 0, Scarce: r.vm.pacer.Scarce(now, server),
+			Resting: r.vm.roster.Resting(now, server),
+		}
+	}
+	return out
+}
+
 // AllowRetry implements gather.Chooser.
 func (r *run) AllowRetry(now time.Time, s ident.Service, cause gather.Cause) bool {
 	return r.vm.retries.Take(now, s, r.vm.share(), cause == gather.CauseLate)
@@ -310,7 +331,7 @@
 	handle := v.balancer.Sent(sim.instant(), s.Server, r.typical)
 	kind := sim.params.Kinds[r.client.kind]
 	began := sim.Now()
-	c := &call{work: kind.Work, deadline: r.client.first + kind.Budget}
+	c := &call{from: v, work: kind.Work, deadline: r.client.first + kind.Budget}
 	c.reply = func(verdict gather.Verdict, load *header.Load) {
 		sim.After(sim.params.NetDelay, func() { r.replied(s, handle, verdict, load, sim.Now()-began) })
 	}
@@ -321,8 +342,7 @@
 func (r *run) replied(s gather.Send, h place.Handle, verdict gather.Verdict, load *header.Load, took time.Duration) {
 	v, now := r.vm, r.vm.sim.instant()
 	if verdict != gather.VerdictLost {
-		limit := v.sim.servers[s.Server].Limit
-		v.pacer.Observe(now, now.Add(-took), s.Server, pacer.Statement{Rate: limit, Limited: limit > 0})
+		v.observe(now, took, v.sim.servers[s.Server], verdict)
 	}
 	switch verdict {
 	case gather.VerdictAnswered:
@@ -337,6 +357,18 @@
 	r.send(r.state.AttemptEnded(now, gather.AttemptResult{Shard: s.Shard, Attempt: s.Attempt, Verdict: verdict}, r))
 }
 
+// observe applies what an answer of a server says of it.
+func (v *vm) observe(now time.Time, took time.Duration, s *Server, verdict gather.Verdict) {
+	v.pacer.Observe(now, now.Add(-took), s.name, pacer.Statement{Rate: s.Limit, Limited: s.Limit > 0})
+	start := v.roster.Member(s.name).Entry().Start()
+	if s.Leaving {
+		v.roster.HearLeaving(now, s.name, start)
+	}
+	if verdict == gather.VerdictRefused && s.Rest > 0 {
+		v.roster.HearRest(now, s.name, start, s.Rest)
+	}
+}
+
 func (r *run) proceed() {
 	sim := r.vm.sim
 	if r.over {
@@ -362,12 +394,28 @@
 	notRun := !r.state.MayHaveRun()
 	var retryAfter time.Duration
 	if notRun {
-		left := r.client.first + sim.params.Kinds[r.client.kind].Budget - sim.Now()
-		retryAfter = admit.RetryAfter(left, sim.rng.Float64())
+		retryAfter = r.retryAfter()
 	}
 	sim.ended(r.client, 0, notRun, retryAfter)
 }
 
+// retryAfter returns when a client should return whose request did not run.
+func (r *run) retryAfter() time.Duration {
+	sim := r.vm.sim
+	left := r.client.first + sim.params.Kinds[r.client.kind].Budget - sim.Now()
+	var ends []time.Time
+	missing := r.state.Missing()
+	for _, s := range missing {
+		if w := r.vm.roster.Withholding(sim.instant(), s); !w.Until.IsZero() {
+			ends = append(ends, w.Until)
+		}
+	}
+	if until := admit.Reopens(ends, len(missing), r.state.NumShort()); !until.IsZero() {
+		return admit.RetryAfterRest(until.Sub(sim.instant()), left, sim.rng.Float64())
+	}
+	return admit.RetryAfter(left, sim.rng.Float64())
+}
+
 // MixedKinds returns a system on which a patient and an urgent kind share the servers of 20 shards, at 40% of what these can do when
 // Load is 1.
 func MixedKinds(seed uint64) Params {
--- a/internal/lab/surge/surge_test.go
+++ b/internal/lab/surge/surge_test.go
@@ -166,3 +166,43 @@
 		})
 	}
 }
+
+// Two fifths of the servers refuse most of their parts for a while and name a time: no VM may press on them, and the others must take what
+// they can.
+func TestLoadWithRests(t *testing.T) {
+	const maxIntrusions = 2
+	for _, rest := range []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second} {
+		t.Run(rest.String(), func(t *testing.T) {
+			r := run(1, 1, func(sim *surge.Simulation, p surge.Params) {
+				for shard := range p.Shards {
+					if s := sim.Server(shard, 0); shard%5 < 4 {
+						s.RefuseFraction, s.Rest = 0.8, rest
+					}
+				}
+				t.Cleanup(func() {
+					for shard := range p.Shards {
+						if n := sim.Server(shard, 0).MaxIntrusions(); n > maxIntrusions {
+							t.Errorf("shard %d: %d requests of a VM came while the server wanted none, want at most %d", shard, n, maxIntrusions)
+						}
+					}
+				})
+			})
+			assertAllEnded(t, r)
+			assertFailed(t, r, 0.02)
+			assertUnserved(t, r, 0.1)
+		})
+	}
+}
+
+// One server of each shard leaves, as only its answers say: the others must take its parts without loss to clients.
+func TestLoadWithLeaving(t *testing.T) {
+	for seed := range uint64(3) {
+		r := run(0.8, seed, func(sim *surge.Simulation, p surge.Params) {
+			for shard := range p.Shards {
+				sim.Server(shard, 0).Leaving = true
+			}
+		})
+		assertAllEnded(t, r)
+		assertUnserved(t, r, 0.02)
+	}
+}
--- a/internal/tier/admit/admit.go
+++ b/internal/tier/admit/admit.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// startupFraction is the fraction of a client's remaining time for which its request waits for the first configuration. Clients
@@ -50,3 +53,13 @@
 func RetryAfterRest(rest, remaining time.Duration, random float64) time.Duration {
 	return max(MinRetryAfter, rest) + time.Duration(restSpreadFraction*random*float64(max(0, remaining-rest)))
 }
+
+// Reopens returns when need of a number of services have a server that may be used, given when those that have none get one; the others
+// may have one now. It returns zero if enough may have one now.
+func Reopens(ends []time.Time, services, need int) time.Time {
+	blocked := need - (services - len(ends))
+	if blocked <= 0 || blocked > len(ends) {
+		return time.Time{}
+	}
+	return slices.SortedFunc(slices.Values(ends), time.Time.Compare)[blocked-1]
+}
--- a/internal/tier/admit/admit_test.go
+++ b/internal/tier/admit/admit_test.go
@@ -42,3 +42,27 @@
 	assertBetween(t, "delay of a client without time", admit.RetryAfter(0, 0.5), admit.MinRetryAfter, admit.MinRetryAfter)
 	assertBetween(t, "delay of a patient client", admit.RetryAfter(time.Minute, 0.5), admit.MinRetryAfter, 2*time.Second)
 }
+
+// All servers of a shard turn requests away until a known time: no client may be told to return before it, nor all at once.
+func TestRetryAfterRest(t *testing.T) {
+	const rest, remaining = 200 * time.Millisecond, 800 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 1))
+	first, last := remaining, time.Duration(0)
+	for range 50 {
+		d := admit.RetryAfterRest(rest, remaining, rng.Float64())
+		first, last = min(first, d), max(last, d)
+	}
+	assertBetween(t, "first return", first, rest, rest+50*time.Millisecond)
+	assertBetween(t, "last return", last, rest+50*time.Millisecond, remaining/2)
+	assertBetween(t, "return of a client without time", admit.RetryAfterRest(rest, 0, 0.5), rest, rest)
+}
+
+func TestReopens(t *testing.T) {
+	at := func(seconds int64) time.Time { return time.Unix(seconds, 0) }
+	ends := []time.Time{at(3), at(1), at(2)}
+	for need, want := range map[int]time.Time{1: {}, 2: {}, 3: at(1), 4: at(2), 5: at(3), 6: {}} {
+		if got := admit.Reopens(ends, 5, need); !got.Equal(want) {
+			t.Errorf("%d of 5 services, 3 of them without a server, have one at %v, want %v", need, got, want)
+		}
+	}
+}
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -15,6 +15,7 @@
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 	"kumquatreel.example/kumquatreel/internal/limit/retry"
 	"kumquatreel.example/kumquatreel/internal/limit/warmup"
+	"kumquatreel.example/kumquatreel/internal/tier/admit"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
@@ -465,11 +466,7 @@
 			ends = append(ends, w.Until)
 		}
 	}
-	// The other services may have a server now.
-	if others := len(services) - len(ends); need > others && need-others <= len(ends) {
-		slices.SortFunc(ends, time.Time.Compare)
-		out.Until = ends[need-others-1]
-	}
+	out.Until = admit.Reopens(ends, len(services), need)
 	return out
 }
 
--- a/internal/tier/header/header_test.go
+++ b/internal/tier/header/header_test.go
@@ -1,6 +1,8 @@
 package header_test
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,3 +75,25 @@
 		})
 	}
 }
+
+func TestParseRetryAfter(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"2": 2 * time.Second, " 0.25 ": 250 * time.Millisecond, "0": 0, "0.5|3|1": 3 * time.Second, "1e300": math.MaxInt64, "1e18": math.MaxInt64,
+	} {
+		t.Run(text, func(t *testing.T) {
+			if got, ok := header.ParseRetryAfter(strings.Split(text, "|")); got != want || !ok {
+				t.Errorf("time is %v, %v, want %v", got, ok, want)
+			}
+		})
+	}
+	for _, text := range []string{"", "-1", "soon", "NaN", "Inf", "1e400", "2|x", "Sat, 05 Dec 2026 10:00:00 GMT"} {
+		t.Run(text, func(t *testing.T) {
+			if got, ok := header.ParseRetryAfter(strings.Split(text, "|")); ok {
+				t.Errorf("time is %v, want none", got)
+			}
+		})
+	}
+	if _, ok := header.ParseRetryAfter(nil); ok {
+		t.Error("a time is read from no header")
+	}
+}
