--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/base/units"
 	"kumquatreel.example/kumquatreel/internal/conf/jsonc"
 )
 
@@ -224,4 +225,4 @@
 // LogLevel returns the minimum level of log records that are written.
 func (s Settings) LogLevel() string { return s.text.LogLevel }
 
-func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+func seconds(n float64) time.Duration { return units.Seconds(n) }
--- a/internal/limit/pacer/fleet.go
+++ b/internal/limit/pacer/fleet.go
@@ -88,7 +88,7 @@
 	}
 	key := "limit:" + string(name)
 	ranked := slices.Concat(ident.Rank(key, f.busy), ident.Rank(key, f.idle))
-	ranked = ranked[:min(len(ranked), minSharing+int(rate))]
+	ranked = ranked[:min(len(ranked), minSharing+int(min(rate, float64(len(ranked)))))]
 	total, own := 0.0, 0.0
 	for i, vm := range ranked {
 		weight := 1.0
--- a/internal/limit/pacer/pacer.go
+++ b/internal/limit/pacer/pacer.go
@@ -29,6 +29,9 @@
 	// reportWindow is how long after an answer what it says is reported to other VMs, and maxReports the number of servers in a report.
 	reportWindow = 2 * time.Second
 	maxReports   = 128
+	// maxRate is the highest rate that is told from a higher one, and maxReportAge the age of a report that is still applied.
+	maxRate      = 1e9
+	maxReportAge = time.Minute
 	// never is the delay of a VM without a share.
 	never = time.Duration(math.MaxInt64)
 )
@@ -88,6 +91,7 @@
 
 // setLimit records that a server named a limit at the time heard.
 func (l *Limiter) setLimit(now, heard time.Time, name ident.Server, s *server, rate float64) Change {
+	rate = min(rate, maxRate)
 	s.accrue(now, l.shareOf(name, s))
 	before := -1.0
 	if s.limited {
--- a/internal/limit/pacer/pacer_test.go
+++ b/internal/limit/pacer/pacer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -316,3 +317,19 @@
 		}
 	}
 }
+
+// Numbers too large to be a limit must neither end the process nor keep requests from the server.
+func TestHugeNumbers(t *testing.T) {
+	vms := []pacer.VM{{Name: "vm0", Busy: true}, {Name: "vm1", Busy: true}, {Name: "vm2"}}
+	for _, rate := range []float64{1e19, 1e300, math.MaxFloat64} {
+		var l pacer.Limiter
+		l.SetFleet(start, "vm0", vms)
+		l.Observe(start, start, "a", pacer.Statement{Rate: rate, Limited: true})
+		l.ApplyReports(start, map[ident.Server]pacer.Report{"b": {Rate: rate}, "c": {Rate: 1, AgeMs: math.MaxInt64}})
+		for _, name := range []ident.Server{"a", "b", "c"} {
+			if d := l.Delay(start.Add(time.Second), name, false); d > 0 {
+				t.Errorf("rate %v: server %s may get a request after %v, want at once", rate, name, d)
+			}
+		}
+	}
+}
--- a/internal/limit/pacer/report.go
+++ b/internal/limit/pacer/report.go
@@ -39,11 +39,13 @@
 func (l *Limiter) ApplyReports(now time.Time, reports map[ident.Server]Report) map[ident.Server]Change {
 	var out map[ident.Server]Change
 	for name, r := range reports {
+		if !(r.Rate >= 0) || r.AgeMs < 0 || r.AgeMs > maxReportAge.Milliseconds() {
+			continue
+		}
 		heard := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
 		s := l.servers[name]
 		var c Change
 		switch {
-		case !(r.Rate >= 0) || r.AgeMs < 0:
 		case s == nil && !r.Ended:
 			c = l.setLimit(now, heard, name, l.add(name), r.Rate)
 		case s == nil || !heard.After(s.heardAt):
--- a/internal/limit/warmup/warmup.go
+++ b/internal/limit/warmup/warmup.go
@@ -53,7 +53,7 @@
 	if rate <= 0 || !slices.Contains(members, self) {
 		return 0
 	}
-	sharing := max(1, min(len(members), int(rate/minRate)))
+	sharing := max(1, int(min(float64(len(members)), rate/minRate)))
 	if sharing >= len(members) {
 		return rate / float64(len(members))
 	}
--- a/internal/tier/events/events.go
+++ b/internal/tier/events/events.go
@@ -31,11 +31,11 @@
 func (l Line) Source() string { return l.source }
 
 // Message returns the message of the line.
-func (l Line) Message() string { return l.text("msg") }
+func (l Line) Message() string { return l.Text("msg") }
 
 // Time returns when the line was written, and false if the line has no valid time.
 func (l Line) Time() (time.Time, bool) {
-	at, err := time.Parse(time.RFC3339Nano, l.text("at"))
+	at, err := time.Parse(time.RFC3339Nano, l.Text("at"))
 	return at, err == nil
 }
 
@@ -48,8 +48,8 @@
 // FieldNames returns the names of the line's fields in alphabetical order.
 func (l Line) FieldNames() []string { return slices.Sorted(maps.Keys(l.fields)) }
 
-// text returns the value of a field, or "" if the field is missing or not a string.
-func (l Line) text(name string) string {
+// Text returns the value of a field, or "" if the field is missing or not a string.
+func (l Line) Text(name string) string {
 	if s, ok := l.fields[name].(string); ok {
 		return s
 	}
@@ -104,10 +104,10 @@
 // Explain sorts lines by time and writes those of a request. Before them it writes the last line of each message that shows
 // the state of the request's VM at the time of its first line. It returns an error if no line has the ID of the request.
 func Explain(w io.Writer, lines []Line, id string) error {
-	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Compare(a.text("at"), b.text("at")) })
+	slices.SortStableFunc(lines, func(a, b Line) int { return cmp.Compare(a.Text("at"), b.Text("at")) })
 	var matched []Line
 	for _, l := range lines {
-		if l.text("id") == id {
+		if l.Text("id") == id {
 			matched = append(matched, l)
 		}
 	}
@@ -132,20 +132,20 @@
 func precedingContext(lines []Line, before Line) []Line {
 	last := make(map[string]Line)
 	for _, l := range lines {
-		if l.source == before.source && l.text("at") <= before.text("at") && slices.Contains(contextComponents, l.text("part")) {
-			last[l.text("msg")] = l
+		if l.source == before.source && l.Text("at") <= before.Text("at") && slices.Contains(contextComponents, l.Text("part")) {
+			last[l.Text("msg")] = l
 		}
 	}
 	out := slices.Collect(maps.Values(last))
 	slices.SortFunc(out, func(a, b Line) int {
-		return cmp.Or(cmp.Compare(a.text("at"), b.text("at")), cmp.Compare(a.text("msg"), b.text("msg")))
+		return cmp.Or(cmp.Compare(a.Text("at"), b.Text("at")), cmp.Compare(a.Text("msg"), b.Text("msg")))
 	})
 	return out
 }
 
 func write(w io.Writer, kind string, l Line) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%-7s %s %s %s", kind, l.text("at"), l.source, l.text("msg"))
+	fmt.Fprintf(&b, "%-7s %s %s %s", kind, l.Text("at"), l.source, l.Text("msg"))
 	for _, name := range l.FieldNames() {
 		switch name {
 		case "at", "msg", "level", "part", "id":
--- a/internal/tier/logs/logs.go
+++ b/internal/tier/logs/logs.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	// flushInterval bounds how long a line stays in the write buffer.
 	flushInterval    = 200 * time.Millisecond
 	writeBufferBytes = 16 << 10
+	// maxFieldBytes is the length to which a text in a line is cut.
+	maxFieldBytes = 1 << 10
 	// flushesPerReport is the number of flushes between two reports of dropped lines, which makes one report per second.
 	flushesPerReport = 5
 	// timeFormat includes the date, since several logs are read together and at a later time.
@@ -143,6 +146,11 @@
 
 func (l *Log) emit(ln line) {
 	fields := append([]any{"at", ln.at.UTC().Format(timeFormat), "part", ln.component}, ln.fields...)
+	for i, f := range fields {
+		if text, ok := f.(string); ok && len(text) > maxFieldBytes {
+			fields[i] = strings.ToValidUTF8(text[:maxFieldBytes], "") + "..."
+		}
+	}
 	l.inner.Log(ln.level, ln.message, fields...)
 }
 
--- a/internal/tier/logs/logs_test.go
+++ b/internal/tier/logs/logs_test.go
@@ -47,6 +47,15 @@
 			t.Errorf("lines are %v", got)
 		}
 	})
+	t.Run("cuts long texts", func(t *testing.T) {
+		var b bytes.Buffer
+		l, stop := logs.New(&b, log.InfoLevel)
+		l.Warn("store", "item ignored", "error", strings.Repeat("\u00e4", 100_000))
+		stop()
+		if got := parseLines(t, b.String()); len(got) != 1 || b.Len() > 2000 {
+			t.Errorf("wrote %d lines with %d bytes, want one of 2000 bytes at most", len(got), b.Len())
+		}
+	})
 	t.Run("leaves out a flood and says so, and other lines pass", func(t *testing.T) {
 		var b bytes.Buffer
 		l, stop := logs.New(&b, log.InfoLevel)
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -171,6 +171,9 @@
 	}
 	events, accepted := p.receive(now, d)
 	for _, r := range m.Relayed {
+		if r.AgeMs < 0 || r.AgeMs > retention.Milliseconds() {
+			continue
+		}
 		more, _ := p.receive(now.Add(-time.Duration(r.AgeMs)*time.Millisecond), r.Digest)
 		events = append(events, more...)
 	}
--- a/internal/tier/peers/peers_test.go
+++ b/internal/tier/peers/peers_test.go
@@ -41,6 +41,18 @@
 		assertAccepted(t, p, start, heartbeat("a", 1, 4), false)
 		assertAccepted(t, p, start, heartbeat("a", 1, 6), true)
 	})
+	t.Run("passes over what is relayed with an age that no digest can have", func(t *testing.T) {
+		for _, age := range []int64{-1, -1 << 62, 1 << 40, 1<<63 - 1} {
+			p := peers.New("self")
+			m := heartbeat("a", 1, 1)
+			m.Relayed = []peers.Relay{{Digest: heartbeat("b", 1, 1).From, AgeMs: age}}
+			p.Receive(start, m)
+			assertAlive(t, p, start, "a")
+			if n := len(p.Members()); n != 1 {
+				t.Errorf("%d members with an age of %d ms, want 1", n, age)
+			}
+		}
+	})
 	t.Run("passes over the VM's own words", func(t *testing.T) {
 		assertAccepted(t, peers.New("self"), start, heartbeat("self", 1, 1), false)
 	})
