link, platform/stand: a server that stops within its answer's head

Reports of other operators: a replica stopped in the middle of its head, and clients got a 200 with an empty or short body, framed as whole.

--- a/internal/tier/link/link_test.go
+++ b/internal/tier/link/link_test.go
@@ -22,7 +22,8 @@
 // scriptedServer is a server that gives fixed answers to the requests on each connection; {id} stands for the request's ID.
 type scriptedServer struct {
 	listener net.Listener
-	// answers are given to the requests on a connection in turn; one that ends with "!" also closes the connection.
+	// answers are given to the requests on a connection in turn; one that ends with "!" also closes the connection, and one that ends with
+	// "#" resets it.
 	answers []string
 	dials   chan struct{}
 }
@@ -59,6 +60,10 @@
 			return
 		}
 		text, closes := strings.CutSuffix(a, "!")
+		if rest, resets := strings.CutSuffix(a, "#"); resets {
+			text, closes = rest, true
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
 		if _, err := c.Write([]byte(strings.ReplaceAll(text, "{id}", req.Header.Get("X-Id")))); err != nil || closes {
 			return
 		}
