admit, gather, edge: a VM that stops answers what it has read

Cause: Shutdown took requests for 3.45 s of a grace period of 6 s whatever their deadline, and closed the rest without an answer at its end; a second SIGTERM ended the process at once, though a platform may repeat it. Ruled out: the drain of connections (idle ones, accepted ones without a request, those in the kernel's queue): all cuts seen were requests that a server still worked on. Change: admit.MayStart decides whether a request may start: 1.5 times the late latency must remain until the last answers, 8 times if it may run only once; others get a true 503 with Retry-After and a closed connection. Deadlines end with the last answers, a second before the grace period does; what is open then is answered with what there is (gather.Stop), 504 if it may have run, 503 if not. SIGTERM is heeded once; a second SIGINT still ends the process.

--- a/cmd/kumquatreel/edge.go
+++ b/cmd/kumquatreel/edge.go
@@ -19,8 +19,8 @@
 	Settings string `long:"settings" env:"KUMQUATREEL_CONFIG" required:"yes" description:"file with the VM's settings"`
 }
 
-// Execute runs a VM on the users' platform until SIGTERM or SIGINT, then shuts it down gracefully; a second signal
-// ends the process at once. SIGHUP reloads the settings.
+// Execute runs a VM on the users' platform until SIGTERM or SIGINT, then shuts it down gracefully; another SIGINT ends the process at once,
+// another SIGTERM doesn't, since a platform may repeat it. SIGHUP reloads the settings.
 func (c *edgeCommand) Execute([]string) error {
 	settings, err := setup.Load(c.Settings)
 	if err != nil {
@@ -53,10 +53,11 @@
 	}
 	go func() {
 		for s := range signals {
-			if s != syscall.SIGHUP {
+			if s == syscall.SIGINT {
 				closeLog()
 				os.Exit(1)
 			}
+			logger.Info("process", "signal ignored while leaving", "signal", s.String())
 		}
 	}()
 	e.Shutdown(settings.GracePeriod())
--- a/cmd/kumquatreel/main.go
+++ b/cmd/kumquatreel/main.go
@@ -24,7 +24,7 @@
 		},
 		{
 			Name: "edge", Short: "Run an entry VM on the users' platform",
-			Long: "Runs the process of one entry VM that sends requests directly to backend servers, until it gets SIGTERM or SIGINT; SIGHUP reloads the settings.\n\nExample: kumquatreel edge --settings /etc/kumquatreel/settings.jsonc",
+			Long: "Runs the process of one entry VM that sends requests directly to backend servers, until it gets SIGTERM or SIGINT, then shuts down within the grace period; another SIGINT ends it at once. SIGHUP reloads the settings.\n\nExample: kumquatreel edge --settings /etc/kumquatreel/settings.jsonc",
 			Run:  &edgeCommand{},
 		},
 		{
--- a/internal/tier/admit/admit.go
+++ b/internal/tier/admit/admit.go
@@ -18,6 +18,10 @@
 	maxRetryFraction = 0.375
 	// restSpreadFraction is the fraction of the time that a client has left after a rest of the servers over which clients return.
 	restSpreadFraction = 0.2
+	// A request may start at a VM that stops if repeatableMargin times the latency beyond which an answer is late remains until its last
+	// answers, or runOnceMargin times that latency if the request may run only once.
+	repeatableMargin = 1.5
+	runOnceMargin    = 8
 	// MinRetryAfter is the shortest delay after which a client should retry, maxRetryAfter the longest.
 	MinRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -63,3 +67,17 @@
 	}
 	return slices.SortedFunc(slices.Values(ends), time.Time.Compare)[blocked-1]
 }
+
+// MayStart reports whether a request may start at a VM that stops. left is the time until the VM gives its last answers, budget the time
+// that the request may take, and late the latency beyond which an answer to such a request is late.
+//
+// Load pattern: a VM is stopped while clients with cached addresses go on sending to it, and some servers are slow. What would probably not
+// be answered in time is refused before it runs, so that the client can send it to another VM; a request that may run only once is lost
+// otherwise.
+func MayStart(left, budget, late time.Duration, repeatable bool) bool {
+	margin := float64(runOnceMargin)
+	if repeatable {
+		margin = repeatableMargin
+	}
+	return left >= min(budget, time.Duration(margin*float64(late)))
+}
--- a/internal/tier/admit/admit_test.go
+++ b/internal/tier/admit/admit_test.go
@@ -66,3 +66,25 @@
 		}
 	}
 }
+
+// A VM stops: what it takes on must be likely to end in time, and most likely if it may run only once.
+func TestMayStart(t *testing.T) {
+	const late = 100 * time.Millisecond
+	for _, c := range []struct {
+		left, budget time.Duration
+		repeatable   bool
+		want         bool
+	}{
+		{3 * time.Second, 8 * time.Second, false, true},
+		{600 * time.Millisecond, 8 * time.Second, false, false},
+		{600 * time.Millisecond, 8 * time.Second, true, true},
+		{100 * time.Millisecond, 8 * time.Second, true, false},
+		{300 * time.Millisecond, 200 * time.Millisecond, false, true},
+		{-time.Second, 8 * time.Second, true, false},
+		{-time.Second, 0, true, false},
+	} {
+		if got := admit.MayStart(c.left, c.budget, late, c.repeatable); got != c.want {
+			t.Errorf("%+v: got %v", c, got)
+		}
+	}
+}
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -35,8 +35,10 @@
 	// lingerTTLs is how long a leaving VM continues to accept requests, as a multiple of the directory TTL: clients send
 	// requests to it until their cached directory answer expires.
 	lingerTTLs = 1.15
-	// shutdownMargin is the time at the end of the grace period reserved for the last requests and the final heartbeat.
+	// shutdownMargin is the time at the end of the grace period reserved for the final heartbeat and the end of the process.
 	shutdownMargin = 700 * time.Millisecond
+	// lastAnswerMargin is the time before that in which requests that are still open are answered.
+	lastAnswerMargin = 300 * time.Millisecond
 	// headerTimeout bounds the time to read a request's headers, and also its body while no published limit is known.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long an idle client connection stays open. Published limits are shorter.
@@ -89,14 +91,17 @@
 	quotaMu sync.Mutex
 	quota   *quota.Limiter
 
-	ready    atomic.Bool
-	leaving  atomic.Bool
-	stopped  atomic.Bool
-	watching atomic.Bool
-	inFlight atomic.Int64
-	load     loadMeter
-	health   healthTracker
-	traffic  *traffic
+	ready   atomic.Bool
+	leaving atomic.Bool
+	stopped atomic.Bool
+	// lastAnswers is when the open requests of a VM that stops are answered, nil before. stopRequests is closed then.
+	lastAnswers  atomic.Pointer[time.Time]
+	stopRequests chan struct{}
+	watching     atomic.Bool
+	inFlight     atomic.Int64
+	load         loadMeter
+	health       healthTracker
+	traffic      *traffic
 
 	// clientServer accepts client requests.
 	clientServer *drain.Server
@@ -127,7 +132,7 @@
 	now := time.Now()
 	e := &Edge{
 		path: opts.Path, names: opts.Names, store: opts.Store, decode: opts.Decode, log: opts.Log, metrics: newMeter(), traffic: newTraffic(),
-		boot: now.UnixMicro(), started: now, dispatch: newDispatch(settings, fork(rng)), quota: quota.New(now),
+		boot: now.UnixMicro(), started: now, stopRequests: make(chan struct{}), dispatch: newDispatch(settings, fork(rng)), quota: quota.New(now),
 		fleet: &fleet{
 			peers: peers.New(settings.Name()), rng: fork(rng), codec: codec,
 			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
@@ -345,11 +350,14 @@
 }
 
 // Shutdown stops the VM gracefully within the grace period. The VM first leaves the directory and keeps accepting requests
-// until cached directory answers have expired, then drains the requests in flight. Requests that are still open at the
-// end of the grace period, less shutdownMargin, are reported in the log.
+// until cached directory answers have expired, as far as they can be answered in time, then drains the requests in flight. Requests that
+// are still open shortly before the end of the grace period are answered with what there is. It must be called only once.
 func (e *Edge) Shutdown(grace time.Duration) {
 	began := time.Now()
+	lastAnswers := began.Add(grace - shutdownMargin - lastAnswerMargin)
+	e.lastAnswers.Store(&lastAnswers)
 	e.leaving.Store(true)
+	defer time.AfterFunc(time.Until(lastAnswers), func() { close(e.stopRequests) }).Stop()
 	e.log.Info(componentProcess, "leaving", "graceMs", ms(grace), "requests", e.inFlight.Load())
 	e.sendHeartbeats(false)
 	linger := time.Duration(lingerTTLs * float64(e.directoryTTL()))
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -148,6 +148,8 @@
 			j.handleResult(f)
 		case <-timer.C:
 			j.start(j.state.Tick(time.Now(), j.chooser))
+		case <-j.edge.stopRequests:
+			j.state.Stop()
 		case <-ctx.Done():
 			j.cancel()
 			j.out.clientGone = true
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -105,7 +105,11 @@
 	if t := e.dispatch.current(); t != nil && t.Limits().HeaderTimeout > 0 {
 		timeout = t.Limits().HeaderTimeout
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(arrived.Add(timeout)); err != nil {
+	deadline := arrived.Add(timeout)
+	if end := e.lastAnswers.Load(); end != nil && end.Before(deadline) {
+		deadline = *end
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
 		e.log.Warn(componentRequest, "cannot set read deadline of a body", "error", err.Error())
 	}
 }
@@ -143,6 +147,9 @@
 	if !time.Now().Before(rq.hard) {
 		return rq, &refusal{status: http.StatusServiceUnavailable, text: "no time is left", retryAfter: admit.MinRetryAfter}
 	}
+	if rejected := e.admitStopping(rq); rejected != nil {
+		return rq, rejected
+	}
 	if team != nil {
 		if rejected := e.admitTeam(team); rejected != nil {
 			return rq, rejected
@@ -152,6 +159,30 @@
 	return rq, nil
 }
 
+// admitStopping bounds the deadlines of a request by the last answers of a VM that stops, or returns a refusal if the request would
+// probably not be answered by then.
+func (e *Edge) admitStopping(rq *request) *refusal {
+	end := e.lastAnswers.Load()
+	if end == nil {
+		return nil
+	}
+	left, budget := time.Until(*end), rq.hard.Sub(rq.arrived)
+	_, late := e.dispatch.partLatency(rq.route)
+	if !admit.MayStart(left, budget, late, rq.route.Kind() == table.KindIdempotent) {
+		return &refusal{
+			status: http.StatusServiceUnavailable, text: "the VM stops", retryAfter: admit.MinRetryAfter,
+			details: []any{"leftMs", ms(left), "lateMs", ms(late)},
+		}
+	}
+	if end.Before(rq.hard) {
+		rq.hard = *end
+	}
+	if end.Before(rq.soft) {
+		rq.soft = *end
+	}
+	return nil
+}
+
 // admitTeam takes a token for a request from its team's quota, or returns a refusal if the team is over its rate.
 func (e *Edge) admitTeam(team *table.Team) *refusal {
 	now := time.Now()
@@ -308,8 +339,12 @@
 		}
 		return refusal{status: http.StatusServiceUnavailable, text: "no server has room" + missing, retryAfter: delay, details: details}
 	}
-	if out.reason == gather.ReasonDeadline {
+	switch out.reason {
+	case gather.ReasonDeadline:
 		return refusal{status: http.StatusGatewayTimeout, text: "the time is over" + missing, details: details}
+	case gather.ReasonStopped:
+		return refusal{status: http.StatusGatewayTimeout, text: "the VM stops" + missing, details: details}
+	default:
 	}
 	return refusal{status: http.StatusBadGateway, text: "too few servers answered" + missing, details: details}
 }
--- a/internal/tier/gather/enums.go
+++ b/internal/tier/gather/enums.go
@@ -96,11 +96,11 @@
 	return false
 }
 
-const _ReasonName = "completeinTimeunreachabledeadline"
+const _ReasonName = "completeinTimeunreachabledeadlinestopped"
 
-var _ReasonIndex = [...]uint8{0, 8, 14, 25, 33}
+var _ReasonIndex = [...]uint8{0, 8, 14, 25, 33, 40}
 
-const _ReasonLowerName = "completeintimeunreachabledeadline"
+const _ReasonLowerName = "completeintimeunreachabledeadlinestopped"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -117,15 +117,17 @@
 	_ = x[ReasonInTime-(1)]
 	_ = x[ReasonUnreachable-(2)]
 	_ = x[ReasonDeadline-(3)]
+	_ = x[ReasonStopped-(4)]
 }
 
-var _ReasonValues = []Reason{ReasonComplete, ReasonInTime, ReasonUnreachable, ReasonDeadline}
+var _ReasonValues = []Reason{ReasonComplete, ReasonInTime, ReasonUnreachable, ReasonDeadline, ReasonStopped}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:   ReasonComplete,
 	_ReasonName[8:14]:  ReasonInTime,
 	_ReasonName[14:25]: ReasonUnreachable,
 	_ReasonName[25:33]: ReasonDeadline,
+	_ReasonName[33:40]: ReasonStopped,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -133,6 +135,7 @@
 	_ReasonLowerName[8:14]:  ReasonInTime,
 	_ReasonLowerName[14:25]: ReasonUnreachable,
 	_ReasonLowerName[25:33]: ReasonDeadline,
+	_ReasonLowerName[33:40]: ReasonStopped,
 }
 
 var _ReasonNames = []string{
@@ -140,6 +143,7 @@
 	_ReasonName[8:14],
 	_ReasonName[14:25],
 	_ReasonName[25:33],
+	_ReasonName[33:40],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/internal/tier/gather/gather.go
+++ b/internal/tier/gather/gather.go
@@ -133,6 +133,13 @@
 	return out
 }
 
+// Stop ends the request with what has been answered so far, because the process stops. It does nothing if the request has ended.
+func (s *State) Stop() {
+	if !s.done {
+		s.finish(ReasonStopped)
+	}
+}
+
 // AttemptCancelled records that an attempt was cancelled before it was sent. It neither ends the request nor causes a retry.
 func (s *State) AttemptCancelled(shard, attempt int) {
 	a := &s.shards[shard].attempts[attempt]
--- a/internal/tier/gather/spec.go
+++ b/internal/tier/gather/spec.go
@@ -45,6 +45,8 @@
 	ReasonUnreachable
 	// ReasonDeadline means that the hard deadline has passed.
 	ReasonDeadline
+	// ReasonStopped means that Stop was called.
+	ReasonStopped
 )
 
 // Cause is why an attempt is made.
