reader, edge: few VMs call the store, whatever the size of the fleet

Cause: a VM called the store whenever it knew of no VM that watches it. Ruled out: the three watchers themselves, which make some 4 calls a second each. Change: package reader decides. Watchers by rank call as before. The VM of rank r takes turns, after r/3 times a watcher's pause, up to 2 s; the first to be served ends it. At a start of all the first three seeds read the store at once, one that hears nobody after 0.3 s, others after 1.2 s.

--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -12,13 +12,12 @@
 	"kumquatreel.example/kumquatreel/internal/limit/quota"
 	"kumquatreel.example/kumquatreel/internal/tier/mirror"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
+	"kumquatreel.example/kumquatreel/internal/tier/reader"
 	"kumquatreel.example/kumquatreel/internal/tier/source"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
 )
 
 const (
-	// storeWatchers is how many VMs of the fleet watch the store. The others receive updates from them.
-	storeWatchers = 3
 	// watchTimeout is how long the store holds a watch call open while there are no changes. If the answer takes longer by
 	// watchMargin, the call fails and the VM counts as partitioned from the store.
 	watchTimeout = 3 * time.Second
@@ -33,29 +32,37 @@
 	maxPageAttempts  = 4
 	// pageRetryDelay is the time between two calls for a page.
 	pageRetryDelay = 50 * time.Millisecond
-	// storeRetryDelay is the pause after a failed read or watch.
-	storeRetryDelay = 250 * time.Millisecond
-	// watchTurnInterval is how often a VM that does not watch the store checks whether it should.
-	watchTurnInterval = 200 * time.Millisecond
-	// minStoreDelay is how long a new VM waits for updates from other VMs before it reads the store itself.
-	minStoreDelay = 30 * time.Millisecond
-	// maxStoreDelay is how long a new VM that is not among the store watchers waits for updates from other VMs before it
-	// reads the store itself.
-	maxStoreDelay = 1200 * time.Millisecond
+	// turnInterval is how often a VM that does not call the store checks whether it may, startTurnInterval how often one does that has no
+	// copy of the store yet.
+	turnInterval      = 200 * time.Millisecond
+	startTurnInterval = 30 * time.Millisecond
 	// settleIntervals is how many heartbeat intervals of the servers after the store's return from an older copy the items that it has
 	// lost are held. Entries of servers that have ended are removed after three intervals; entries of the others are back by then.
 	settleIntervals = 5
 )
 
-// syncMirror keeps the mirror up to date until ctx ends. It reads the store if this VM should watch it; otherwise updates
-// arrive from other VMs.
+// syncMirror keeps the mirror up to date until ctx ends. It calls the store when it is this VM's turn; otherwise updates arrive from other
+// VMs.
 func (e *Edge) syncMirror(ctx context.Context) {
-	clock.Sleep(ctx, minStoreDelay)
+	var failedAt time.Time
+	watchedAt := e.started
 	for ctx.Err() == nil {
-		mayWait := e.revision() > 0 || time.Since(e.started) < maxStoreDelay
-		if mayWait && !e.shouldWatch(time.Now()) {
+		now := time.Now()
+		t := e.turn(now)
+		if t.Watched {
+			watchedAt = now
+		}
+		t.Failed, t.SinceFailure, t.Unwatched = !failedAt.IsZero(), now.Sub(failedAt), now.Sub(watchedAt)
+		if wait, may := t.Wait(); wait > 0 || !may {
 			e.setWatching(false, nil)
-			clock.Sleep(ctx, watchTurnInterval)
+			interval := turnInterval
+			if t.Empty {
+				interval = startTurnInterval
+			}
+			if may {
+				interval = min(interval, wait)
+			}
+			clock.Sleep(ctx, interval)
 			continue
 		}
 		err := e.syncOnce(ctx)
@@ -63,8 +70,9 @@
 			return
 		}
 		e.setWatching(err == nil, err)
+		failedAt = time.Time{}
 		if err != nil {
-			clock.Sleep(ctx, storeRetryDelay)
+			failedAt = time.Now()
 		}
 	}
 }
@@ -148,30 +156,46 @@
 	return source.Page{}, err
 }
 
-// shouldWatch reports whether this VM should watch the store: it is among the first storeWatchers VMs of the core group by
-// rank, or it has read the store before and no VM that is alive watches it.
-func (e *Edge) shouldWatch(now time.Time) bool {
+// turn describes this VM to package reader, but for its past calls. The VMs of the core group come first; a VM that leaves is not counted.
+func (e *Edge) turn(now time.Time) reader.Turn {
 	self := e.settings.Load().Name()
 	c := e.core()
-	var names []ident.VM
+	t := reader.Turn{
+		Alone: true, Watching: e.watching.Load(), Empty: e.revision() == 0, Age: now.Sub(e.started), First: e.readsFirst(),
+		Spread: float64(ident.Score("reader", string(self))%1024) / 1024,
+	}
+	core, others := []ident.VM{}, []ident.VM{}
 	if c.IncludesSelf() {
-		names = append(names, self)
+		core = append(core, self)
+	} else {
+		others = append(others, self)
 	}
-	watching := false
 	e.fleet.mu.Lock()
 	for _, m := range e.fleet.peers.Alive(now) {
 		d := m.Digest()
-		if c.Has(d.VM) && d.Phase != peers.PhaseLeaving {
-			names = append(names, d.VM)
+		t.Alone = false
+		t.Watched = t.Watched || d.WatchesStore
+		switch {
+		case d.Phase == peers.PhaseLeaving:
+		case c.Has(d.VM):
+			core = append(core, d.VM)
+		default:
+			others = append(others, d.VM)
 		}
-		watching = watching || d.WatchesStore
 	}
 	e.fleet.mu.Unlock()
-	if !watching && e.revision() > 0 {
-		return true
+	if c.IncludesSelf() {
+		t.Rank = slices.Index(ident.Rank("reader", core), self)
+	} else {
+		t.Rank = len(core) + slices.Index(ident.Rank("reader", others), self)
 	}
-	ranked := ident.Rank("reader", names)
-	return slices.Contains(ranked[:min(storeWatchers, len(ranked))], self)
+	return t
+}
+
+// readsFirst reports whether this VM is among those that read the store first when all start together: the first seeds by rank.
+func (e *Edge) readsFirst() bool {
+	ranked := ident.Rank("reader", e.seedHosts())
+	return slices.Contains(ranked[:min(reader.NumWatchers, len(ranked))], e.settings.Load().Address())
 }
 
 // setWatching records whether this VM watches the store and logs a change; err is the reason if the watch has failed.
--- /dev/null
+++ b/internal/tier/reader/doc.go
@@ -0,0 +1,10 @@
+// Package reader decides when a VM calls the platform's store, so that few VMs of a fleet do.
+//
+// The first VMs by rank watch the store, and the others receive updates from
+// them. Package edge passes in the VM's place and what it knows of the others.
+//
+// Load patterns: all VMs start together; the store is away and no VM can
+// watch it, while it may serve some of them; VMs are cut off from the watchers.
+// Calls would then grow with the fleet, when the store can bear them least. So
+// the others take turns by rank: whoever is first to be served ends it.
+package reader
--- /dev/null
+++ b/internal/tier/reader/reader.go
@@ -0,0 +1,76 @@
+package reader
+
+import "time"
+
+const (
+	// NumWatchers is how many VMs watch the store.
+	NumWatchers = 3
+	// retryPause is the pause of a watcher after a failed call. The pause of the VM of rank r is r/NumWatchers times as long, up to maxPause,
+	// which bounds how long a VM waits that is the only one to be served.
+	retryPause = 250 * time.Millisecond
+	maxPause   = 2 * time.Second
+	// minStartDelay is how long a new VM waits for updates from other VMs if it is to read the store first, startDelay how long others wait,
+	// and maxStartDelay how long they wait if they have heard from other VMs. Up to startSpread is added, by VM.
+	minStartDelay = 30 * time.Millisecond
+	startDelay    = 300 * time.Millisecond
+	maxStartDelay = 1200 * time.Millisecond
+	startSpread   = 300 * time.Millisecond
+)
+
+// Turn describes a VM that may call the store.
+type Turn struct {
+	// Rank is the place of the VM among those that are alive, from 0.
+	Rank int
+	// Alone says that the VM has not heard from any other VM.
+	Alone bool
+	// Watched says that another VM watches the store, Watching that this one does.
+	Watched, Watching bool
+	// Empty says that the VM has no complete copy of the store yet. Age is the time since its start.
+	Empty bool
+	Age   time.Duration
+	// First says that the VM is among those that read the store first when all start together.
+	First bool
+	// Spread is a number in [0,1) that differs by VM.
+	Spread float64
+	// SinceFailure is the time since the last failed call, and Failed says that there was one since the last that succeeded.
+	SinceFailure time.Duration
+	Failed       bool
+	// Unwatched is the time since another VM last watched the store.
+	Unwatched time.Duration
+}
+
+// Wait returns how long the VM waits before it may call the store, as far as it knows now, and 0 if it may call now. It returns false if the
+// VM does not call as long as nothing changes.
+func (t Turn) Wait() (time.Duration, bool) {
+	switch {
+	case t.Watching && (t.Rank < NumWatchers || !t.Watched):
+		return 0, true
+	case t.Failed:
+		return max(0, t.pause()-t.SinceFailure), t.Empty || t.Rank < NumWatchers || !t.Watched
+	case t.Empty:
+		return max(0, t.startDelay()-t.Age), true
+	case t.Rank < NumWatchers:
+		return 0, true
+	case t.Watched:
+		return 0, false
+	}
+	return max(0, t.pause()-t.Unwatched), true
+}
+
+// pause returns the time between two calls of the VM while calls fail.
+func (t Turn) pause() time.Duration {
+	p := retryPause * time.Duration(max(NumWatchers, t.Rank+1)) / NumWatchers
+	return min(p, maxPause) + time.Duration(t.Spread*float64(retryPause))
+}
+
+// startDelay returns the age at which a VM without a copy of the store calls it.
+func (t Turn) startDelay() time.Duration {
+	spread := time.Duration(t.Spread * float64(startSpread))
+	switch {
+	case t.First:
+		return minStartDelay
+	case t.Alone, t.Rank < NumWatchers:
+		return startDelay + spread
+	}
+	return maxStartDelay + spread
+}
