assign, edge: the core group is not computed for each heartbeat

Cause: the VMs of the core group carry most queries and get a heartbeat from each other VM several times a second (some 76 a second at 195 VMs). Each cost 1.15 ms: the core group was computed two or three times, with two hashes in each comparison, and the same reply encoded again: 9% of a core. Change: the order's keys are computed once for each VM; the core group is used for 50 ms, and so is the encoded reply to VMs outside the core.

--- a/internal/tier/assign/assign.go
+++ b/internal/tier/assign/assign.go
@@ -93,24 +93,34 @@
 	for _, n := range servers {
 		maxServers = max(maxServers, n)
 	}
-	near := func(d ident.Domain) bool { return float64(servers[d]) >= nearFraction*float64(maxServers) }
-	score := func(vm VM) uint64 { return ident.Score("callers", string(vm.Name)) }
-	ranked := slices.Clone(vms)
-	slices.SortFunc(ranked, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(b.CPUShare, a.CPUShare), cmp.Compare(score(b), score(a)), cmp.Compare(a.Name, b.Name))
+	// The keys are computed once for each VM, since comparisons grow faster than the fleet.
+	type keyed struct {
+		VM
+		near          bool
+		score         uint64
+		indexInDomain int
+	}
+	keys := make([]keyed, len(vms))
+	for i, vm := range vms {
+		keys[i] = keyed{
+			VM: vm, near: float64(servers[vm.Domain]) >= nearFraction*float64(maxServers), score: ident.Score("callers", string(vm.Name)),
+		}
+	}
+	slices.SortFunc(keys, func(a, b keyed) int {
+		return cmp.Or(cmp.Compare(b.CPUShare, a.CPUShare), cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name))
 	})
 	perDomain := make(map[ident.Domain]int)
-	indexInDomain := make(map[ident.VM]int, len(ranked))
-	for _, vm := range ranked {
-		indexInDomain[vm.Name] = perDomain[vm.Domain]
-		perDomain[vm.Domain]++
+	for i := range keys {
+		keys[i].indexInDomain = perDomain[keys[i].Domain]
+		perDomain[keys[i].Domain]++
 	}
-	slices.SortStableFunc(ranked, func(a, b VM) int {
-		return cmp.Or(
-			compareBool(near(b.Domain), near(a.Domain)), cmp.Compare(b.CPUShare, a.CPUShare),
-			cmp.Compare(indexInDomain[a.Name], indexInDomain[b.Name]),
-		)
+	slices.SortStableFunc(keys, func(a, b keyed) int {
+		return cmp.Or(compareBool(b.near, a.near), cmp.Compare(b.CPUShare, a.CPUShare), cmp.Compare(a.indexInDomain, b.indexInDomain))
 	})
+	ranked := make([]VM, len(keys))
+	for i := range keys {
+		ranked[i] = keys[i].VM
+	}
 	return ranked
 }
 
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -33,6 +33,10 @@
 	maxListedMembers = 8
 	// maxDatagramSize is the size of the largest heartbeat in bytes.
 	maxDatagramSize = 32 << 10
+	// coreMaxAge is how long the core group is used before it is computed again, and replyMaxAge how long a reply to VMs outside it is used.
+	// The VMs of the core get a heartbeat from each other VM of the fleet several times a second.
+	coreMaxAge  = 50 * time.Millisecond
+	replyMaxAge = 50 * time.Millisecond
 	// teamReportWindow is how long after its last request a team is included in heartbeats.
 	teamReportWindow = 2 * time.Second
 )
@@ -51,6 +55,12 @@
 	limitMembers   peers.LimitMembers
 	// directory holds the addresses that the directory listed at the last tick.
 	directory []string
+	// core is the core group as of coreAt.
+	core   peers.Core
+	coreAt time.Time
+	// outsideReply is the encoded reply to VMs outside the core group as of outsideReplyAt.
+	outsideReply   []byte
+	outsideReplyAt time.Time
 	// fetching is set while updates are being fetched from another VM.
 	fetching bool
 }
@@ -217,6 +227,29 @@
 	e.send(m, withReply...)
 }
 
+// sendReply replies to a heartbeat. All VMs outside the core group get the same reply for a while.
+func (e *Edge) sendReply(now time.Time, to peers.Digest) {
+	if e.core().Has(to.VM) {
+		e.send(e.reply(now, to.VM), to.Address)
+		return
+	}
+	f := e.fleet
+	f.mu.Lock()
+	raw, age := f.outsideReply, now.Sub(f.outsideReplyAt)
+	f.mu.Unlock()
+	if raw == nil || age >= replyMaxAge {
+		var err error
+		if raw, err = f.codec.Encode(e.reply(now, to.VM)); err != nil {
+			e.log.Error(componentFleet, "cannot encode heartbeat", "error", err.Error())
+			return
+		}
+		f.mu.Lock()
+		f.outsideReply, f.outsideReplyAt = raw, now
+		f.mu.Unlock()
+	}
+	e.sendRaw(raw, to.Address)
+}
+
 // reply returns the heartbeat for a VM that requested a reply. It includes the heartbeats received from the core group.
 func (e *Edge) reply(now time.Time, to ident.VM) peers.Message {
 	c := e.core()
@@ -250,9 +283,24 @@
 	return m
 }
 
-// core returns the core group of the fleet: the VMs that the directory lists first.
+// core returns the core group of the fleet, the VMs that the directory lists first, as of coreMaxAge ago at most.
 func (e *Edge) core() peers.Core {
 	now := time.Now()
+	e.fleet.mu.Lock()
+	c, age := e.fleet.core, now.Sub(e.fleet.coreAt)
+	e.fleet.mu.Unlock()
+	if age < coreMaxAge {
+		return c
+	}
+	c = e.newCore(now)
+	e.fleet.mu.Lock()
+	e.fleet.core, e.fleet.coreAt = c, now
+	e.fleet.mu.Unlock()
+	return c
+}
+
+// newCore computes the core group.
+func (e *Edge) newCore(now time.Time) peers.Core {
 	s := e.settings.Load()
 	self := peers.Digest{VM: s.Name(), Address: s.Address(), Domain: s.Domain(), CPUShare: s.CPUShare()}
 	servers := e.serversByDomain()
@@ -300,6 +348,11 @@
 		e.log.Error(componentFleet, "cannot encode heartbeat", "error", err.Error())
 		return
 	}
+	e.sendRaw(raw, hosts...)
+}
+
+// sendRaw sends an encoded message to the VMs at the given IP addresses. Errors are logged.
+func (e *Edge) sendRaw(raw []byte, hosts ...string) {
 	e.fleet.mu.Lock()
 	e.fleet.heartbeatBytes += int64(len(raw) * len(hosts))
 	e.fleet.mu.Unlock()
@@ -355,7 +408,7 @@
 		e.handleMemberEvents(e.core(), events)
 	}
 	if m.RequestReply {
-		e.send(e.reply(now, m.From.VM), m.From.Address)
+		e.sendReply(now, m.From)
 	}
 	if e.lacks(now, m.From) {
 		e.startFetch(m.From)
