reader: a new VM reads the store at once if clients wait for it

Change: a request that waits for the first configuration makes it this VM's turn. At an ordinary start no requests come yet.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
@@ -42,10 +43,12 @@
 	initialLatency = 20 * time.Millisecond
 )
 
-// dispatch holds the state that decides where requests are sent. mu guards all fields but domain and self.
+// dispatch holds the state that decides where requests are sent. mu guards all fields after it.
 type dispatch struct {
 	domain ident.Domain
 	self   ident.VM
+	// awaiting counts the requests that wait for the first configuration.
+	awaiting atomic.Int64
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -108,6 +111,8 @@
 	if t := d.current(); t != nil {
 		return t
 	}
+	d.awaiting.Add(1)
+	defer d.awaiting.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	select {
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -35,7 +35,7 @@
 	// turnInterval is how often a VM that does not call the store checks whether it may, startTurnInterval how often one does that has no
 	// copy of the store yet.
 	turnInterval      = 200 * time.Millisecond
-	startTurnInterval = 30 * time.Millisecond
+	startTurnInterval = 10 * time.Millisecond
 	// settleIntervals is how many heartbeat intervals of the servers after the store's return from an older copy the items that it has
 	// lost are held. Entries of servers that have ended are removed after three intervals; entries of the others are back by then.
 	settleIntervals = 5
@@ -162,6 +162,7 @@
 	c := e.core()
 	t := reader.Turn{
 		Alone: true, Watching: e.watching.Load(), Empty: e.revision() == 0, Age: now.Sub(e.started), First: e.readsFirst(),
+		Demanded: e.dispatch.awaiting.Load() > 0,
 		Spread: float64(ident.Score("reader", string(self))%1024) / 1024,
 	}
 	core, others := []ident.VM{}, []ident.VM{}
--- a/internal/tier/reader/doc.go
+++ b/internal/tier/reader/doc.go
@@ -6,5 +6,6 @@
 // Load patterns: all VMs start together; the store is away and no VM can
 // watch it, while it may serve some of them; VMs are cut off from the watchers.
 // Calls would then grow with the fleet, when the store can bear them least. So
-// the others take turns by rank: whoever is first to be served ends it.
+// the others take turns by rank: whoever is first to be served ends it. A new
+// VM waits for the others' copy, unless clients already wait for an answer.
 package reader
--- a/internal/tier/reader/reader.go
+++ b/internal/tier/reader/reader.go
@@ -9,7 +9,7 @@
 	// which bounds how long a VM waits that is the only one to be served.
 	retryPause = 250 * time.Millisecond
 	maxPause   = 2 * time.Second
-	// minStartDelay is how long a new VM waits for updates from other VMs if it is to read the store first, startDelay how long others wait,
+	// minStartDelay is how long a new VM waits for updates from other VMs if it is to read the store first or clients wait for it, startDelay how long others wait,
 	// and maxStartDelay how long they wait if they have heard from other VMs. Up to startSpread is added, by VM.
 	minStartDelay = 30 * time.Millisecond
 	startDelay    = 300 * time.Millisecond
@@ -28,6 +28,8 @@
 	// Empty says that the VM has no complete copy of the store yet. Age is the time since its start.
 	Empty bool
 	Age   time.Duration
+	// Demanded says that a request waits for the VM's first configuration.
+	Demanded bool
 	// First says that the VM is among those that read the store first when all start together.
 	First bool
 	// Spread is a number in [0,1) that differs by VM.
@@ -67,7 +69,7 @@
 func (t Turn) startDelay() time.Duration {
 	spread := time.Duration(t.Spread * float64(startSpread))
 	switch {
-	case t.First:
+	case t.First, t.Demanded:
 		return minStartDelay
 	case t.Alone, t.Rank < NumWatchers:
 		return startDelay + spread
--- a/internal/tier/reader/reader_test.go
+++ b/internal/tier/reader/reader_test.go
@@ -147,6 +147,7 @@
 	t.Run("of a new one waits for the others", func(t *testing.T) {
 		assertWait(t, reader.Turn{Empty: true, First: true, Age: 30 * time.Millisecond}, 0, true)
 		assertWait(t, reader.Turn{Empty: true, Alone: true}, 300*time.Millisecond, true)
+		assertWait(t, reader.Turn{Empty: true, Rank: 40, Demanded: true, Age: 30 * time.Millisecond}, 0, true)
 		assertWait(t, reader.Turn{Empty: true, Rank: 40}, 1200*time.Millisecond, true)
 	})
 }
