--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -163,7 +163,7 @@
 	t := reader.Turn{
 		Alone: true, Watching: e.watching.Load(), Empty: e.revision() == 0, Age: now.Sub(e.started), First: e.readsFirst(),
 		Demanded: e.dispatch.awaiting.Load() > 0,
-		Spread: float64(ident.Score("reader", string(self))%1024) / 1024,
+		Spread:   float64(ident.Score("reader", string(self))%1024) / 1024,
 	}
 	core, others := []ident.VM{}, []ident.VM{}
 	if c.IncludesSelf() {
