link, edge: a run-once request is not lost on a connection that the server resets at once

Ruled out: crashes of servers (slow losses, by timeout), the second attempts after a dial timeout. Change: before a run-once request is sent on a new connection, the VM waits as long as the connection took to open and a millisecond for a reset. Then nothing was sent, another server may be tried, and a refusal is a true 503. A reset while connecting no longer counts as an unreachable server.

--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -247,7 +247,7 @@
 	}
 	res := e.exchange(j.attemptsCtx, link.Call{
 		Target: sent.target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
-		Deadline: j.expires(), MaxConnections: sent.connections, Permit: permit,
+		Deadline: j.expires(), MaxConnections: sent.connections, Permit: permit, RunOnce: j.rq.route.Kind() != table.KindIdempotent,
 		Allowed: func() bool { return e.dispatch.mayReceive(time.Now(), sent) },
 	})
 	now := time.Now()
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -37,6 +37,7 @@
 	errRevoked   = errors.New("request was revoked before it was sent")
 	errTruncated = errors.New("answer is truncated")
 	errInterim   = errors.New("too many interim answers")
+	errUnasked   = errors.New("server sent bytes on a new connection before a request")
 	errMemory    = errors.New("too many bytes of incomplete answers are held")
 )
 
@@ -80,6 +81,22 @@
 	return err == nil && wouldBlock
 }
 
+// awaitReset waits for a time and returns an error if the server closes or resets the connection, or sends bytes that nobody asked for.
+func (c *conn) awaitReset(d time.Duration) error {
+	c.limit.left = maxHeadBytes
+	if err := c.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return errors.Errorf("wait on a new connection: %w", err)
+	}
+	_, err := c.br.Peek(1)
+	switch {
+	case err == nil:
+		return errUnasked
+	case isTimeout(err):
+		return nil
+	}
+	return errors.Errorf("server ended a new connection: %w", err)
+}
+
 // exchange reads the answer to a request that has been written and skips answers to earlier ones. It also reports whether
 // the connection can be reused.
 func (c *conn) exchange(method, idHeader, id string, maxBytes int64) (*Answer, bool, error) {
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -23,6 +23,8 @@
 	maxConnWait = 60 * time.Millisecond
 	// staleChoice is the wait for a connection after which a call asks again whether its server may receive it.
 	staleChoice = 20 * time.Millisecond
+	// resetMargin is added to the time that a connection took to open: a server with too many connections has reset it by then.
+	resetMargin = time.Millisecond
 	// ackTimeout is how long sent bytes may stay unacknowledged before the connection is closed.
 	ackTimeout = time.Second
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux, which package syscall does not define.
@@ -49,6 +51,8 @@
 	MaxConnections int
 	// Permit allows the call to be revoked until it is sent. It must not be nil.
 	Permit *Permit
+	// RunOnce says that the request may run only once. It is not sent on a new connection before the server had time to reset that.
+	RunOnce bool
 	// Allowed reports whether the server may still receive the call. It is asked before a call is sent that has waited for its
 	// connection. Nil allows it.
 	Allowed func() bool
@@ -108,7 +112,15 @@
 	began := time.Now()
 	cn, dialed, err := p.get(ctx, c.MaxConnections, c.Deadline)
 	if err != nil {
-		return Result{Verdict: gather.VerdictUnsent, Err: err, Unresponsive: !errors.Is(err, errBusy) && !errors.Is(err, context.Canceled), Dialed: dialed}
+		// A server that resets a connection as it opens answers, but has too many.
+		unresponsive := !errors.Is(err, errBusy) && !errors.Is(err, context.Canceled) && !errors.Is(err, syscall.ECONNRESET)
+		return Result{Verdict: gather.VerdictUnsent, Err: err, Unresponsive: unresponsive, Dialed: dialed}
+	}
+	if dialed && c.RunOnce {
+		if err := cn.awaitReset(time.Since(began) + resetMargin); err != nil {
+			p.put(cn, false)
+			return Result{Verdict: gather.VerdictUnsent, Err: err, Dialed: true}
+		}
 	}
 	withheld := time.Since(began) > staleChoice && c.Allowed != nil && !c.Allowed()
 	if withheld || !c.Permit.consume() {
