belief, edge, kumquatreel: what a VM believes, in one call

Cause: why a server gets no requests was spread over log lines of several kinds; an operator had no way to ask a VM. Change: GET /beliefs at the metrics address, and kumquatreel beliefs, show servers with reasons (leaving, removed, resting, cold, limited, backoff, domain out), their source (server, store, other VM), age and end, teams with their tokens, the store's era and revision, and the other VMs. Bounded to 500 rows of a kind (limit, up to 5,000); keys are never shown.

--- a/cmd/kumquatreel/client.go
+++ b/cmd/kumquatreel/client.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/belief"
 	"kumquatreel.example/kumquatreel/internal/tier/events"
 	"kumquatreel.example/kumquatreel/internal/wire/client"
 	"kumquatreel.example/kumquatreel/internal/wire/netio"
@@ -66,6 +69,26 @@
 // Execute prints a VM's status.
 func (c *statusCommand) Execute([]string) error { return printPage(c.Operator, "/status") }
 
+type beliefsCommand struct {
+	Metrics string `long:"metrics" required:"yes" description:"the VM's address for metrics"`
+	Service string `long:"service" description:"show only the servers of this service"`
+	Limit   int    `long:"limit" default:"500" description:"rows of servers, of teams and of VMs, 1 to 5000"`
+	JSON    bool   `long:"json" description:"print JSON instead of tables"`
+}
+
+// Execute prints a VM's beliefs.
+func (c *beliefsCommand) Execute([]string) error {
+	path := "/beliefs?" + url.Values{"service": {c.Service}, "limit": {strconv.Itoa(c.Limit)}}.Encode()
+	if c.JSON {
+		return printPage(c.Metrics, path)
+	}
+	var page belief.Page
+	if err := getPage(c.Metrics, path, &page); err != nil {
+		return err
+	}
+	return belief.Print(os.Stdout, page)
+}
+
 type readyCommand struct {
 	Operator string `long:"operator" required:"yes" description:"a VM's address for operators"`
 }
@@ -114,15 +137,23 @@
 }
 
 func printPage(address, path string) error {
+	var page json.RawMessage
+	if err := getPage(address, path, &page); err != nil {
+		return err
+	}
+	return printJSON(page)
+}
+
+// getPage gets a page of a VM and decodes it.
+func getPage(address, path string, into any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	t, closeIdle := netio.Transport(netio.TCP{}, 1)
 	defer closeIdle()
-	var page json.RawMessage
-	if err := netio.Get(ctx, &http.Client{Transport: t}, address, path, &page, maxPageBytes); err != nil {
+	if err := netio.Get(ctx, &http.Client{Transport: t}, address, path, into, maxPageBytes); err != nil {
 		return errors.Errorf("read from VM %s: %w", address, err)
 	}
-	return printJSON(page)
+	return nil
 }
 
 func printJSON(v any) error {
--- a/cmd/kumquatreel/main.go
+++ b/cmd/kumquatreel/main.go
@@ -47,6 +47,11 @@
 			Long: "Prints the status of one VM and its view of the fleet.\n\nExample: kumquatreel status --operator 127.0.0.1:7404",
 			Run:  &statusCommand{},
 		},
+		{
+			Name: "beliefs", Short: "Show what an edge VM believes",
+			Long: "Prints what one edge VM believes of the servers, the teams, the store and the other VMs, with sources and ages, and why a server gets no requests.\n\nExample: kumquatreel beliefs --metrics 127.0.0.1:9464 --service books",
+			Run:  &beliefsCommand{},
+		},
 		{
 			Name: "ready", Short: "Check whether a VM is ready",
 			Long: "Succeeds if a VM serves clients and holds its share of the fleet's work.\n\nExample: kumquatreel ready --operator 127.0.0.1:7404",
--- /dev/null
+++ b/internal/tier/belief/belief.go
@@ -0,0 +1,108 @@
+package belief
+
+import (
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+)
+
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=What,Source -trimprefix=What,Source -transform=title-lower -text -output=enums.go
+
+// What is a reason why a server gets no requests, or only those that no other server can take.
+type What int
+
+// The reasons.
+const (
+	// WhatLeaving means that the server leaves.
+	WhatLeaving What = iota
+	// WhatRemoved means that the server's entry was removed from the store.
+	WhatRemoved
+	// WhatResting means that the server wants no requests for a time.
+	WhatResting
+	// WhatCold means that the server has started lately and takes few requests.
+	WhatCold
+	// WhatLimited means that the limit which the server names allows no further request now.
+	WhatLimited
+	// WhatBackoff means that the server did not answer or could not be reached.
+	WhatBackoff
+	// WhatDomainOut means that the server's failure domain is out of service.
+	WhatDomainOut
+)
+
+// Source is where a belief comes from.
+type Source int
+
+// The sources.
+const (
+	// SourceServer is the server itself, in its answers or by their absence.
+	SourceServer Source = iota
+	// SourceStore is the platform's store.
+	SourceStore
+	// SourceOtherVM is another VM, which heard it from the server.
+	SourceOtherVM
+)
+
+// Reason is one reason, with its source.
+type Reason struct {
+	What   What   `json:"what"`
+	Source Source `json:"source"`
+	// AgeMs is how long the VM has believed it, 0 if that is not known, and ForMs for how much longer it will without news, 0 if that has no
+	// end.
+	AgeMs int64 `json:"ageMs,omitempty"`
+	ForMs int64 `json:"forMs,omitempty"`
+}
+
+// Server is what the VM believes of a backend server.
+type Server struct {
+	Server   ident.Server  `json:"server"`
+	Service  ident.Service `json:"service"`
+	Domain   ident.Domain  `json:"domain"`
+	Address  string        `json:"address"`
+	Revision int64         `json:"revision"`
+	Started  int64         `json:"started"`
+	InFlight int           `json:"inFlight"`
+	Reasons  []Reason      `json:"reasons,omitempty"`
+}
+
+// Team is what the VM believes of a team. Its keys are not shown.
+type Team struct {
+	Team   ident.Team `json:"team"`
+	Rate   float64    `json:"rate"`
+	Burst  float64    `json:"burst"`
+	Tokens float64    `json:"tokens"`
+}
+
+// VM is what the VM believes of another one.
+type VM struct {
+	VM       ident.VM     `json:"vm"`
+	Domain   ident.Domain `json:"domain"`
+	Phase    string       `json:"phase"`
+	Alive    bool         `json:"alive"`
+	Core     bool         `json:"core"`
+	AgeMs    int64        `json:"ageMs"`
+	Era      int64        `json:"era"`
+	Revision int64        `json:"revision"`
+	Watching bool         `json:"watching"`
+}
+
+// Store is what the VM believes of the platform's store.
+type Store struct {
+	Era           int64 `json:"era"`
+	Revision      int64 `json:"revision"`
+	ConfigVersion int64 `json:"configVersion"`
+	// Watching says that this VM watches the store, Holding that it holds items which the store has lost.
+	Watching bool `json:"watching"`
+	Holding  bool `json:"holding"`
+}
+
+// Page holds the beliefs of a VM.
+type Page struct {
+	VM      ident.VM  `json:"vm"`
+	At      time.Time `json:"at"`
+	Store   Store     `json:"store"`
+	Servers []Server  `json:"servers"`
+	Teams   []Team    `json:"teams"`
+	VMs     []VM      `json:"vms"`
+	// LeftOut is the number of servers, teams and VMs that are not in the page because it would be too long.
+	LeftOut int `json:"leftOut,omitempty"`
+}
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -173,6 +173,7 @@
 	directory.HandleFunc("GET "+e.names.DirectoryPath, e.serveDirectory)
 	control.HandleFunc("GET "+updatesPath, e.serveUpdates)
 	metrics.Handle("GET /metrics", e.metrics.handler())
+	metrics.HandleFunc("GET "+beliefsPath, e.serveBeliefs)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -205,6 +205,14 @@
 	return st != nil && now.Before(st.backoffUntil)
 }
 
+// Backoff returns for how much longer a server is backing off, 0 if it is not.
+func (b *Balancer) Backoff(now time.Time, s ident.Server) time.Duration {
+	if st := b.servers[s]; st != nil {
+		return max(0, st.backoffUntil.Sub(now))
+	}
+	return 0
+}
+
 // Sent records that a request with the given typical latency is sent to a server. The handle identifies the request when it ends:
 // in Answered, Refused, Failed, Unreachable, TimedOut or Discarded.
 func (b *Balancer) Sent(now time.Time, s ident.Server, typical time.Duration) Handle {
--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -58,6 +59,15 @@
 // Leaving reports whether the server is leaving or its entry was removed.
 func (m *Member) Leaving() bool { return !m.leavingSince.IsZero() }
 
+// LeavingSince returns since when the server is leaving or its entry is removed, zero if neither holds.
+func (m *Member) LeavingSince() time.Time { return m.leavingSince }
+
+// Removed reports whether the server's entry was removed.
+func (m *Member) Removed() bool { return m.removed }
+
+// ColdUntil returns the end of the server's cold start, which may have passed.
+func (m *Member) ColdUntil() time.Time { return m.coldUntil }
+
 // usableAsFallback reports whether the server may receive requests that no other server can take, given the drain time.
 func (m *Member) usableAsFallback(now time.Time, drain time.Duration) bool {
 	period := time.Duration(drainUseFraction * float64(drain))
@@ -192,6 +202,13 @@
 // Member returns the known state of a server, or nil.
 func (r *Roster) Member(s ident.Server) *Member { return r.members[s] }
 
+// Members returns the known states of all servers, in order of names.
+func (r *Roster) Members() []*Member {
+	return slices.SortedFunc(maps.Values(r.members), func(a, b *Member) int {
+		return strings.Compare(string(a.entry.Server), string(b.entry.Server))
+	})
+}
+
 // Len returns the number of known servers.
 func (r *Roster) Len() int { return len(r.members) }
 
--- a/internal/tier/roster/statement.go
+++ b/internal/tier/roster/statement.go
@@ -248,3 +248,19 @@
 
 // NumStatements returns the number of servers of which a statement is kept.
 func (r *Roster) NumStatements() int { return len(r.statements) }
+
+// Statement is what is known of a server from its answers, to this VM or to others. Zero times say that nothing is.
+type Statement struct {
+	LeavingSince, RestUntil time.Time
+	OthersLeaving           bool
+	OthersUntil             time.Time
+}
+
+// Statement returns what is known of a server from its answers.
+func (r *Roster) Statement(s ident.Server) Statement {
+	st := r.statements[s]
+	if st == nil {
+		return Statement{}
+	}
+	return Statement{LeavingSince: st.leavingSince, RestUntil: st.restUntil, OthersLeaving: st.othersLeaving, OthersUntil: st.othersUntil}
+}
