edge, logs: a panic beside a call to a server costs that attempt alone

Cause: only the call itself recovered from a panic; one before or after it, as a server's huge limit caused, ended the process. Texts in log lines were cut to 1 KB, too short for a stack. Ruled out: recovering in the goroutine of the request, which net/http does. Change: the whole attempt recovers and counts as lost; texts are cut to 4 KB.

--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -239,13 +240,20 @@
 func (j *job) attempt(s gather.Send, permit *link.Permit) {
 	defer j.running.Done()
 	e := j.edge
+	res := link.Result{Verdict: gather.VerdictLost, Err: errPanic}
+	defer func() {
+		if p := recover(); p != nil {
+			e.logPanic(j.rq.id, s.Server, p)
+		}
+		j.results <- attemptResult{s, res}
+	}()
 	began := time.Now()
 	sent, ok := e.dispatch.begin(began, s, j.typical)
 	if !ok {
-		j.results <- attemptResult{s, link.Result{Verdict: gather.VerdictUnsent}}
+		res = link.Result{Verdict: gather.VerdictUnsent}
 		return
 	}
-	res := e.exchange(j.attemptsCtx, link.Call{
+	res = e.exchange(j.attemptsCtx, link.Call{
 		Target: sent.target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
 		Deadline: j.expires(), MaxConnections: sent.connections, Permit: permit, RunOnce: j.rq.route.Kind() != table.KindIdempotent,
 		Allowed: func() bool { return e.dispatch.mayReceive(time.Now(), sent) },
@@ -253,25 +261,27 @@
 	now := time.Now()
 	if j.attemptsCtx.Err() != nil || res.Revoked {
 		e.dispatch.cancelled(sent.handle)
-	} else {
-		e.logServerChange(s.Server, s.Service, e.dispatch.end(now, j.rq.route, sent, res, e.names, now.Sub(began)))
-		e.logAttempt(j.rq, s, res, now.Sub(began))
+		return
 	}
-	j.results <- attemptResult{s, res}
+	e.logServerChange(s.Server, s.Service, e.dispatch.end(now, j.rq.route, sent, res, e.names, now.Sub(began)))
+	e.logAttempt(j.rq, s, res, now.Sub(began))
 }
 
 // exchange makes a call. A panic ends only this call, whose request may then have run.
 func (e *Edge) exchange(ctx context.Context, c link.Call) (res link.Result) {
 	defer func() {
 		if p := recover(); p != nil {
-			e.log.Error(componentRequest, "panic in a call to a server", "id", c.RequestID, "server", c.Target.Server, "panic", p,
-				"stack", string(debug.Stack()))
+			e.logPanic(c.RequestID, c.Target.Server, p)
 			res = link.Result{Verdict: gather.VerdictLost, Err: errPanic}
 		}
 	}()
 	return e.links.Do(ctx, c)
 }
 
+func (e *Edge) logPanic(id string, server ident.Server, p any) {
+	e.log.Error(componentRequest, "panic in a call to a server", "id", id, "server", server, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+}
+
 // expires returns the deadline of an attempt. It is earlier than the end of the request if the answer consists of several
 // parts, because a part that arrives long after the answer is due is not used.
 func (j *job) expires() time.Time {
--- a/internal/tier/edge/request_test.go
+++ b/internal/tier/edge/request_test.go
@@ -185,3 +185,17 @@
 		t.Errorf("%d requests count as in flight after the panic", n)
 	}
 }
+
+// A panic before or after the call costs that attempt alone, too: it counts as lost.
+func TestPanicBesideCall(t *testing.T) {
+	e, rq := newTestEdge(t, closedAddress(t))
+	rq.route = nil
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	j := &job{edge: e, rq: rq, typical: typical, results: make(chan attemptResult, 1), attemptsCtx: ctx, out: outcome{parts: make([]*link.Answer, 2)}}
+	j.running.Add(1)
+	j.attempt(gather.Send{Service: "a", Server: "a-1"}, &link.Permit{})
+	if r := <-j.results; r.res.Verdict != gather.VerdictLost {
+		t.Errorf("verdict is %v, want lost", r.res.Verdict)
+	}
+}
--- a/internal/tier/logs/logs.go
+++ b/internal/tier/logs/logs.go
@@ -20,8 +20,8 @@
 	// flushInterval bounds how long a line stays in the write buffer.
 	flushInterval    = 200 * time.Millisecond
 	writeBufferBytes = 16 << 10
-	// maxFieldBytes is the length to which a text in a line is cut.
-	maxFieldBytes = 1 << 10
+	// maxFieldBytes is the length to which a text in a line is cut; the stack of a panic fits in part.
+	maxFieldBytes = 4 << 10
 	// flushesPerReport is the number of flushes between two reports of dropped lines, which makes one report per second.
 	flushesPerReport = 5
 	// timeFormat includes the date, since several logs are read together and at a later time.
