window: the most events in a window, counted in one place

Ruled out: production code has no such count. Change: lab/window; the daemon's test now also fails if a server gets no part at all.

--- a/internal/lab/surge/server.go
+++ b/internal/lab/surge/server.go
@@ -3,9 +3,11 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/lab/window"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 )
@@ -52,19 +54,9 @@
 func (s *Server) MaxIntrusions() int { return s.intrusions }
 
 // MaxArrivals returns the highest number of requests in any window of the given length since a time, while it named a limit.
-func (s *Server) MaxArrivals(since, window time.Duration) int {
-	most, from := 0, 0
-	for i, at := range s.arrivals {
-		if at < since {
-			from = i + 1
-			continue
-		}
-		for at-s.arrivals[from] >= window {
-			from++
-		}
-		most = max(most, i-from+1)
-	}
-	return most
+func (s *Server) MaxArrivals(since, length time.Duration) int {
+	later, _ := slices.BinarySearch(s.arrivals, since)
+	return window.Most(s.arrivals[later:], length, func(a, b time.Duration) time.Duration { return a - b })
 }
 
 // call is an attempt at a server.
--- a/internal/limit/pacer/pacer_test.go
+++ b/internal/limit/pacer/pacer_test.go
@@ -4,18 +4,20 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/lab/window"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 )
 
 var start = time.Unix(1000, 0)
 
 const (
-	window = 4 * time.Second
-	step   = 10 * time.Millisecond
+	limitWindow = 4 * time.Second
+	step        = 10 * time.Millisecond
 	// tickInterval is the interval at which VMs learn of each other, reportDelay the time that a report takes.
 	tickInterval = 200 * time.Millisecond
 	reportDelay  = 50 * time.Millisecond
@@ -102,24 +104,17 @@
 
 // most returns the highest number of requests in any window since a time.
 func (s *sim) most(since time.Time) int {
-	most, from := 0, 0
-	for i, at := range s.arrivals {
-		if at.Before(since) {
-			from = i + 1
-			continue
-		}
-		for at.Sub(s.arrivals[from]) >= window {
-			from++
-		}
-		most = max(most, i-from+1)
+	later := slices.IndexFunc(s.arrivals, func(at time.Time) bool { return !at.Before(since) })
+	if later < 0 {
+		return 0
 	}
-	return most
+	return window.Most(s.arrivals[later:], limitWindow, time.Time.Sub)
 }
 
 func (s *sim) assertBound(t *testing.T, since time.Time) {
 	t.Helper()
-	if got, want := s.most(since), 1.5*s.limit*window.Seconds()+5; float64(got) > want {
-		t.Errorf("%d requests in %v, want at most %v", got, window, want)
+	if got, want := s.most(since), 1.5*s.limit*limitWindow.Seconds()+5; float64(got) > want {
+		t.Errorf("%d requests in %v, want at most %v", got, limitWindow, want)
 	}
 }
 
--- a/internal/node/daemon/scenario_test.go
+++ b/internal/node/daemon/scenario_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/fault"
 	"kumquatreel.example/kumquatreel/internal/conf/schema"
 	"kumquatreel.example/kumquatreel/internal/lab/load"
+	"kumquatreel.example/kumquatreel/internal/lab/window"
 	"kumquatreel.example/kumquatreel/internal/node/daemon"
 	"kumquatreel.example/kumquatreel/internal/stand/sample"
 	"kumquatreel.example/kumquatreel/internal/stand/server"
@@ -421,7 +423,7 @@
 
 // Every second server names a limit for all VMs together, which they exceed if each sends as its slots allow.
 func TestServerLimitUnderLoad(t *testing.T) {
-	const limit, window, notice = 4.0, 4 * time.Second, time.Second
+	const limit, length, notice = 4.0, 4 * time.Second, time.Second
 	withFleet(t, func(t *testing.T, r *testFleet) {
 		var limited []*server.Server
 		r.eachServer(func(s *server.Server) {
@@ -439,16 +441,15 @@
 			time.Sleep(20 * time.Second)
 		})
 		for _, s := range limited {
-			most, from := 0, 0
 			all := s.Record().Arrivals
-			for i, at := range all {
-				for at.Sub(all[from]) >= window || all[from].Before(since) && from < i {
-					from++
-				}
-				most = max(most, i-from+1)
+			later := slices.IndexFunc(all, func(at time.Time) bool { return !at.Before(since) })
+			if later < 0 {
+				t.Errorf("%s received no part", s.Name())
+				continue
 			}
-			if bound := 1.5*limit*window.Seconds() + 5; float64(most) > bound {
-				t.Errorf("%s received %d parts in %v, want at most %v", s.Name(), most, window, bound)
+			most := window.Most(all[later:], length, time.Time.Sub)
+			if bound := 1.5*limit*length.Seconds() + 5; float64(most) > bound {
+				t.Errorf("%s received %d parts in %v, want at most %v", s.Name(), most, length, bound)
 			}
 			t.Logf("%s received %d parts", s.Name(), len(all))
 		}
