--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,7 +15,6 @@
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 	"kumquatreel.example/kumquatreel/internal/limit/retry"
 	"kumquatreel.example/kumquatreel/internal/limit/warmup"
-	"kumquatreel.example/kumquatreel/internal/tier/admit"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
@@ -37,8 +35,6 @@
 	tokenWaitFactor = 2.0
 	// initialLatencyFraction is the initial estimate of a part's latency, as a fraction of the route's target latency.
 	initialLatencyFraction = 0.15
-	// leavingValue is the value of the header with which a server says that it leaves.
-	leavingValue = "1"
 	// initialLatency is the initial estimate of a part's latency for a route without a target latency.
 	initialLatency = 20 * time.Millisecond
 )
@@ -342,13 +338,6 @@
 	}, true
 }
 
-// mayReceive reports whether a server may still receive an attempt that was chosen for it a while ago.
-func (d *dispatch) mayReceive(now time.Time, s sending) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.roster.MayReceive(now, s.target.Server, s.start)
-}
-
 // usage returns what an attempt is sent for.
 func usage(s gather.Send) pacer.Use {
 	switch {
@@ -439,54 +428,6 @@
 	return change
 }
 
-// observeStatement applies what an answer says of the server: that it leaves, and in a refusal that it wants nothing for a time.
-func (d *dispatch) observeStatement(now time.Time, s sending, a *link.Answer, names header.Names, change *serverChange) {
-	if a.Header.Get(names.Leaving) == leavingValue {
-		change.leaving = d.roster.HearLeaving(now, s.target.Server, s.start)
-	}
-	texts := a.Header[retryAfter]
-	if len(texts) == 0 || a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
-		return
-	}
-	rest, ok := header.ParseRetryAfter(texts)
-	switch {
-	case !ok:
-		change.badRetryAfter = texts
-	case rest > 0:
-		change.restUntil, _ = d.roster.HearRest(now, s.target.Server, s.start, rest)
-	}
-}
-
-// withholding returns why servers of services get no requests. Until is the instant at which need of the services have a server again, zero
-// if that is not known.
-func (d *dispatch) withholding(now time.Time, services []ident.Service, need int) roster.Withholding {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out roster.Withholding
-	var ends []time.Time
-	for _, s := range services {
-		w := d.roster.Withholding(now, s)
-		out.Leaving, out.Resting = out.Leaving+w.Leaving, out.Resting+w.Resting
-		if !w.Until.IsZero() {
-			ends = append(ends, w.Until)
-		}
-	}
-	out.Until = admit.Reopens(ends, len(services), need)
-	return out
-}
-
-// observeLimit applies the limit that an answer names, empty for none, and returns the change, or the text if it cannot be read.
-func (d *dispatch) observeLimit(now, sent time.Time, server ident.Server, text string) (change pacer.Change, malformed string) {
-	if text == "" {
-		return d.pacer.Observe(now, sent, server, pacer.Statement{}), ""
-	}
-	rate, ok := header.ParseRate(text)
-	if !ok {
-		return nil, text
-	}
-	return d.pacer.Observe(now, sent, server, pacer.Statement{Rate: rate, Limited: true}), ""
-}
-
 // prune drops the state of removed servers, services and routes. It returns the routes of the current configuration, or nil
 // if there is none.
 func (d *dispatch) prune(now time.Time) sets.Set[ident.Route] {
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -259,7 +259,8 @@
 		Allowed: func() bool { return e.dispatch.mayReceive(time.Now(), sent) },
 	})
 	now := time.Now()
-	if j.attemptsCtx.Err() != nil || res.Revoked {
+	// An answer that has arrived counts, even if the client has left: the server may have said something of itself.
+	if res.Answer == nil && (j.attemptsCtx.Err() != nil || res.Revoked) {
 		e.dispatch.cancelled(sent.handle)
 		return
 	}
