--- a/internal/tier/reader/reader.go
+++ b/internal/tier/reader/reader.go
@@ -9,8 +9,8 @@
 	// which bounds how long a VM waits that is the only one to be served.
 	retryPause = 250 * time.Millisecond
 	maxPause   = 2 * time.Second
-	// minStartDelay is how long a new VM waits for updates from other VMs if it is to read the store first or clients wait for it, startDelay how long others wait,
-	// and maxStartDelay how long they wait if they have heard from other VMs. Up to startSpread is added, by VM.
+	// minStartDelay is how long a new VM waits for updates from other VMs if it is to read the store first or if clients wait for it.
+	// startDelay is how long others wait, and maxStartDelay if they have heard from other VMs; up to startSpread is added, by VM.
 	minStartDelay = 30 * time.Millisecond
 	startDelay    = 300 * time.Millisecond
 	maxStartDelay = 1200 * time.Millisecond
