edge: a configuration comes into force after the other items of its update

Ruled out: the turns at the store (all VMs knew of the domain within 0.1 s) and load alone (the machine's load makes the millisecond longer, no more). Change: all other items of an update are applied before a configuration.

--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -271,15 +272,24 @@
 	e.applyItems(now, changed, "store")
 }
 
-// applyItems applies changed items. The caller holds the lock of the mirror.
+// applyItems applies changed items. The caller holds the lock of the mirror. A configuration comes into force after all else: requests may
+// wait for it, and must not be sent where the other items forbid it.
 func (e *Edge) applyItems(now time.Time, items []mirror.Item, from string) {
+	tables := make(map[int64]source.Event)
 	for _, it := range items {
 		ev, err := e.decode(it)
 		if err != nil {
 			e.log.Warn(componentStore, "item ignored", "key", it.Key, "revision", it.Revision, "error", err.Error())
 		}
+		if _, ok := ev.(source.TablePublished); ok {
+			tables[it.Revision] = ev
+			continue
+		}
 		e.applyEvent(now, ev, it.Revision, from)
 	}
+	for _, revision := range slices.Sorted(maps.Keys(tables)) {
+		e.applyEvent(now, tables[revision], revision, from)
+	}
 }
 
 // applyEvent applies one change of the store to the state of the VM.
