--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -269,7 +269,7 @@
 			MaxInFlight: c.maxConnections(e.Service) + maxWaiters, Excluded: slices.Contains(exclude, e.Server),
 		}
 		if out[i].Resting && !out[i].Excluded {
-			c.roster.Withheld(e.Server)
+			c.roster.CountWithheld(e.Server)
 		}
 	}
 	return out
--- a/internal/tier/roster/statement.go
+++ b/internal/tier/roster/statement.go
@@ -11,9 +11,6 @@
 const (
 	// maxRest bounds the time for which a server can keep requests away with one answer.
 	maxRest = time.Hour
-	// reportWindow is how long after an answer what it says is reported to other VMs, and maxReports the number of servers in a report.
-	reportWindow = 2 * time.Second
-	maxReports   = 64
 	// A statement of a server without an entry is kept for statementRetention, in case the entry comes back, and at most maxStatements
 	// of them.
 	statementRetention = time.Hour
@@ -52,18 +49,10 @@
 	Withheld int
 }
 
-// Report is what a VM has heard from a server, for other VMs.
-type Report struct {
-	Started int64 `json:"b"`
-	Leaving bool  `json:"l,omitempty"`
-	// RestMs is for how much longer the server wants nothing from the VM, in milliseconds.
-	RestMs int64 `json:"r,omitempty"`
-}
-
 // HearLeaving records that a server says in an answer that it leaves, and reports whether that is new. start is the start that the request
 // was sent to. Only another start ends it, whatever the server's entries say.
 func (r *Roster) HearLeaving(now time.Time, s ident.Server, start Start) bool {
-	st := r.stateOf(now, s, start)
+	st := r.ensureStatement(now, s, start)
 	if st == nil {
 		return false
 	}
@@ -78,7 +67,7 @@
 // HearRest records that a server wants nothing from this VM for a time, and returns its end. It returns false if an earlier answer named
 // a later end or if the answer is one of an earlier start.
 func (r *Roster) HearRest(now time.Time, s ident.Server, start Start, rest time.Duration) (time.Time, bool) {
-	st := r.stateOf(now, s, start)
+	st := r.ensureStatement(now, s, start)
 	until := now.Add(min(rest, maxRest))
 	if st == nil || !until.After(st.restUntil) {
 		return time.Time{}, false
@@ -90,8 +79,9 @@
 	return until, true
 }
 
-// stateOf returns the statement of a start of a server, which is created if there is none, or nil if the server has started again since.
-func (r *Roster) stateOf(now time.Time, s ident.Server, start Start) *statement {
+// ensureStatement returns the statement of a start of a server, and creates it if there is none. It returns nil if the server has started again
+// since.
+func (r *Roster) ensureStatement(now time.Time, s ident.Server, start Start) *statement {
 	r.init()
 	if m := r.members[s]; m != nil && m.entry.Start() != start {
 		return nil
@@ -111,8 +101,8 @@
 	return st != nil && now.Before(st.restUntil)
 }
 
-// Withheld counts that a resting server was passed over.
-func (r *Roster) Withheld(s ident.Server) {
+// CountWithheld counts that a resting server was passed over.
+func (r *Roster) CountWithheld(s ident.Server) {
 	if st := r.statements[s]; st != nil {
 		st.withheld++
 	}
@@ -181,44 +171,6 @@
 	return out
 }
 
-// Reports returns what this VM has heard from servers itself lately.
-func (r *Roster) Reports(now time.Time) map[ident.Server]Report {
-	var out map[ident.Server]Report
-	for name, st := range r.statements {
-		if st.heardAt.IsZero() || now.Sub(st.heardAt) > reportWindow || len(out) >= maxReports {
-			continue
-		}
-		if out == nil {
-			out = make(map[ident.Server]Report)
-		}
-		out[name] = Report{
-			Started: st.start.Started, Leaving: !st.leavingSince.IsZero(), RestMs: max(0, st.restUntil.Sub(now).Milliseconds()),
-		}
-	}
-	return out
-}
-
-// ApplyReports applies what another VM has heard from servers and returns those of which something is new. Such a server is a fallback: the
-// others are used first, but it is never kept from requests that only it can take, since it has turned none of this VM's away.
-func (r *Roster) ApplyReports(now time.Time, reports map[ident.Server]Report) []ident.Server {
-	var changed []ident.Server
-	for name, rep := range reports {
-		m := r.members[name]
-		if m == nil || m.entry.Started != rep.Started || rep.RestMs < 0 || !rep.Leaving && rep.RestMs == 0 {
-			continue
-		}
-		st := r.stateOf(now, name, m.entry.Start())
-		if !st.avoided(now) {
-			changed = append(changed, name)
-		}
-		rest := time.Duration(min(rep.RestMs, maxRest.Milliseconds())) * time.Millisecond
-		st.othersLeaving = st.othersLeaving || rep.Leaving
-		st.othersUntil = later(st.othersUntil, now.Add(rest))
-	}
-	slices.Sort(changed)
-	return changed
-}
-
 // PruneStatements drops the statements that no longer matter. That a server leaves is kept as long as the server has an entry, and for
 // a while after that.
 func (r *Roster) PruneStatements(now time.Time) {
--- a/internal/tier/roster/statement_test.go
+++ b/internal/tier/roster/statement_test.go
@@ -121,7 +121,7 @@
 		if w := r.Withholding(start, "books"); !w.Until.Equal(start.Add(time.Second)) || w.Resting != 2 {
 			t.Errorf("got %+v, want the earlier end", w)
 		}
-		r.Withheld("b")
+		r.CountWithheld("b")
 		want := []roster.Rest{{Server: "b", Until: start.Add(time.Second), Withheld: 1}}
 		if got := r.EndRests(start.Add(time.Second)); !reflect.DeepEqual(got, want) {
 			t.Errorf("ended rests are %v, want %v", got, want)
