--- a/internal/base/worker/worker.go
+++ b/internal/base/worker/worker.go
@@ -1,6 +1,9 @@
 package worker
 
-import "sync/atomic"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // Pool runs functions on goroutines that are used again. The zero value keeps none of them.
 type Pool struct {
@@ -14,7 +17,7 @@
 // that; it then keeps none.
 func New(maxIdle int) (*Pool, func()) {
 	p := &Pool{work: make(chan func()), closed: make(chan struct{}), maxIdle: int32(maxIdle)}
-	return p, func() { close(p.closed) }
+	return p, sync.OnceFunc(func() { close(p.closed) })
 }
 
 // Go runs a function at once, like a go statement.
--- a/internal/base/worker/worker_test.go
+++ b/internal/base/worker/worker_test.go
@@ -48,6 +48,7 @@
 		}
 		eventually(t, "at most 3 idle goroutines", func() bool { return runtime.NumGoroutine() <= before+3 })
 		stop()
+		stop()
 		eventually(t, "no goroutine is left", func() bool { return runtime.NumGoroutine() <= before })
 		done := make(chan struct{})
 		p.Go(func() { close(done) })
