setup: call units.Seconds instead of a wrapper of it

Cause: read once more: after the conversion had moved to base/units, setup kept a function that only called it. Ruled out: any change of behaviour. Change: its three callers call units.Seconds.

--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -203,13 +203,13 @@
 }
 
 // GracePeriod returns how long a process may run after it is asked to stop.
-func (s Settings) GracePeriod() time.Duration { return seconds(s.text.GraceSeconds) }
+func (s Settings) GracePeriod() time.Duration { return units.Seconds(s.text.GraceSeconds) }
 
 // RetryRatio returns the fraction of a service's requests that may be sent a second time, as a retry or hedge.
 func (s Settings) RetryRatio() float64 { return s.text.RetryRatio }
 
 // RetryWindow returns the length of the sliding window over which retries and hedges are counted.
-func (s Settings) RetryWindow() time.Duration { return seconds(s.text.RetryWindowSeconds) }
+func (s Settings) RetryWindow() time.Duration { return units.Seconds(s.text.RetryWindowSeconds) }
 
 // RetrySlack returns how many retries and hedges of a service's requests the fleet may send per window in addition to the ratio.
 func (s Settings) RetrySlack() float64 { return s.text.RetrySlack }
@@ -220,9 +220,7 @@
 }
 
 // MaxDirectoryTTL returns the maximum time for which a client may cache a directory answer.
-func (s Settings) MaxDirectoryTTL() time.Duration { return seconds(s.text.MaxKeepSeconds) }
+func (s Settings) MaxDirectoryTTL() time.Duration { return units.Seconds(s.text.MaxKeepSeconds) }
 
 // LogLevel returns the minimum level of log records that are written.
 func (s Settings) LogLevel() string { return s.text.LogLevel }
-
-func seconds(n float64) time.Duration { return units.Seconds(n) }
