review: cold servers get too much while all VMs start

Tried: all VMs are killed at once and start again with servers that are cold; the servers alone, as the run without the disruption.

--- a/review/cmd/reviewcase/server.go
+++ b/review/cmd/reviewcase/server.go
@@ -35,6 +35,22 @@
 	extraUntil time.Time
 	extraShare float64
 	extras     int
+	// limit, if not empty, is the Server-Limit that the server names in its answers. named is when it first did so. arrivals holds the
+	// requests that the server has read.
+	limit    string
+	named    time.Time
+	arrivals []arrival
+	// coldUntil is the end of the server's cold start.
+	coldUntil time.Time
+	listener  net.Listener
+	conns     map[net.Conn]bool
+	stopped   bool
+}
+
+// arrival is a request that a server has read.
+type arrival struct {
+	id string
+	at time.Time
 }
 
 // execution is one run of a request, at the time at which the server began to work on it. arrived is when it had read the request.
@@ -45,13 +61,22 @@
 
 // startServer starts a server and publishes its entry.
 func (w *world) startServer(n int, id, service, zone string, slots, queue int, work time.Duration) (*server, error) {
+	s, err := w.newServer(n, id, service, zone, slots, queue, work)
+	if err != nil {
+		return nil, err
+	}
+	return s, w.put("servers/"+id, s.entry("ready", 1))
+}
+
+// newServer starts a server without an entry.
+func (w *world) newServer(n int, id, service, zone string, slots, queue int, work time.Duration) (*server, error) {
 	l, err := w.listenServer(n)
 	if err != nil {
 		return nil, err
 	}
 	s := &server{
 		w: w, id: id, service: service, zone: zone, slots: slots, queue: queue, work: work, address: l.Addr().String(),
-		free: make(chan struct{}, slots),
+		free: make(chan struct{}, slots), listener: l, conns: make(map[net.Conn]bool),
 	}
 	for range slots {
 		s.free <- struct{}{}
@@ -65,19 +90,39 @@
 			go s.serve(c)
 		}
 	}()
-	return s, w.put("servers/"+id, s.entry("ready", 1))
+	return s, nil
+}
+
+// crash ends a server: it answers nothing any more.
+func (s *server) crash() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.w.record("server %s has ended", s.id)
 }
 
 func (s *server) entry(state string, sequence int) map[string]any {
 	return map[string]any{
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": state,
-		"warmup-left-ms": 0, "sequence": sequence, "born": 1700000000000,
+		"warmup-left-ms": max(0, time.Until(s.coldUntil).Milliseconds()), "sequence": sequence, "born": 1700000000000,
 	}
 }
 
 // serve answers the requests on one connection, one at a time.
 func (s *server) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
 	br := bufio.NewReader(c)
 	var extra []byte
 	last := ""
@@ -98,6 +143,9 @@
 			}
 			extra = nil
 		}
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, arrival{r.Header.Get("X-Attempt-Id"), time.Now()})
+		s.mu.Unlock()
 		out, status := s.answer(r, len(body))
 		if _, err := c.Write(out); err != nil {
 			return
@@ -129,6 +177,15 @@
 	if want := r.Header.Get("X-Expected-Instance"); want != "" && want != s.id {
 		return response(http.StatusMisdirectedRequest, head, nil), http.StatusMisdirectedRequest
 	}
+	s.mu.Lock()
+	if s.limit != "" {
+		if s.named.IsZero() {
+			s.named = time.Now()
+			s.w.record("server %s names its limit %s for the first time", s.id, s.limit)
+		}
+		head += "Server-Limit: " + s.limit + "\r\n"
+	}
+	s.mu.Unlock()
 	if !s.acquire() {
 		return response(http.StatusServiceUnavailable, head+"X-Not-Executed: 1\r\n", nil), http.StatusServiceUnavailable
 	}
--- a/review/cmd/reviewcase/world.go
+++ b/review/cmd/reviewcase/world.go
@@ -133,7 +133,7 @@
 }
 
 // startVM starts the program of a VM with the command of the deploy file.
-func (w *world) startVM(i int, zone string, extra map[string]any) error {
+func (w *world) startVM(i int, zone string) error {
 	ip := w.address(i)
 	at := func(port int) string { return ip + ":" + strconv.Itoa(port) }
 	settings := map[string]any{
@@ -143,9 +143,6 @@
 		"cpuShare": 0.4, "maxOpenFiles": 4100, "drainMillis": 3000, "serverHeartbeatMillis": 1200, "graceSeconds": 6,
 		"repeatRatio": 0.2, "repeatWindowSeconds": 10, "repeatSlack": 58, "keepSecondsMost": 5, "logLevel": "info",
 	}
-	for k, v := range extra {
-		settings[k] = v
-	}
 	text, err := json.Marshal(settings)
 	if err != nil {
 		return err
@@ -185,7 +182,7 @@
 // startVMs starts VMs, in the given zones, and waits until all are ready.
 func (w *world) startVMs(zones ...string) error {
 	for i, zone := range zones {
-		if err := w.startVM(i, zone, nil); err != nil {
+		if err := w.startVM(i, zone); err != nil {
 			return err
 		}
 	}
@@ -215,14 +212,16 @@
 // answer is what a client receives; status 0 stands for a connection that ended without a complete answer.
 type answer struct {
 	id     string
+	vm     int
 	status int
+	body   string
 	sent   time.Time
 	took   time.Duration
 }
 
 // send makes one request to a VM, as a client with kept connections does, and records it.
 func (w *world) send(vm int, method, path string, body []byte, budget time.Duration) answer {
-	a := answer{id: "r" + strconv.FormatInt(w.serial.Add(1), 10), sent: time.Now()}
+	a := answer{id: "r" + strconv.FormatInt(w.serial.Add(1), 10), vm: vm, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), budget)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", w.address(vm), portClients, path), bytes.NewReader(body))
@@ -237,11 +236,12 @@
 	w.record("client sends %s %s %s to VM %d", a.id, method, path, vm)
 	resp, err := w.client.Transport.RoundTrip(req)
 	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
+		var raw []byte
+		raw, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-	}
-	if err == nil {
-		a.status = resp.StatusCode
+		if err == nil {
+			a.status, a.body = resp.StatusCode, string(raw)
+		}
 	}
 	a.took = time.Since(a.sent)
 	w.record("client gets %s status %d error %v after %v", a.id, a.status, err, a.took.Round(time.Millisecond))
