owner: a refusal counts only for the part that it names

Cause: readRefusal did not look at the ID of the answer, so a copy of another part's refusal that came late counted as the refusal of a part that ran; the request was reported as not run.

Change: the ID is checked for every answer, before its status; a mismatch makes the outcome unknown and closes the idle connections. Our stand-in plays it (Fault.CrossedRefusal).

Measured: TestWholeAnswers/crossed_with_a_refusal failed on ('request was reported as not run, but its parts ran'), passes now.

--- a/internal/node/daemon/client_test.go
+++ b/internal/node/daemon/client_test.go
@@ -193,7 +193,8 @@
 // TestWholeAnswers guards against counting a shard as covered when its server's response is incomplete or wrong.
 func TestWholeAnswers(t *testing.T) {
 	for name, f := range map[string]server.Fault{
-		"truncated": {Truncate: true}, "corrupted": {Corrupt: true}, "crossed": {WrongRequestID: true}, "of another version": {OtherVersion: true}, "partial": {Partial: true},
+		"truncated": {Truncate: true}, "corrupted": {Corrupt: true}, "crossed": {WrongRequestID: true},
+		"crossed with a refusal": {CrossedRefusal: true}, "of another version": {OtherVersion: true}, "partial": {Partial: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/node/owner/backend.go
+++ b/internal/node/owner/backend.go
@@ -96,10 +96,15 @@
 		result.ConnectionFailed = ctx.Err() == nil
 		return failed(reply, fault.OutcomeUnknown, fault.CodeUnavailable, result)
 	}
+	if resp.Header.Get(HeaderRequest) != string(job.part.ID) {
+		// What is due on the other connections may be the answer to another part too.
+		p.close()
+		return failed(reply, fault.OutcomeUnknown, fault.CodeWrongAnswer, result)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return readRefusal(reply, resp, result)
 	}
-	if err := p.decode(resp, body, job, maxAnswer, &reply); err != nil {
+	if err := decode(resp, body, maxAnswer, &reply); err != nil {
 		p.close()
 		return failed(reply, fault.OutcomeUnknown, fault.CodeWrongAnswer, result)
 	}
@@ -164,14 +169,11 @@
 	return result, reply
 }
 
-// decode checks that a response is complete and belongs to the part, and decodes it into the reply.
-func (p *connPool) decode(resp *http.Response, body []byte, job *job, maxAnswer int64, reply *inner.PartReply) error {
+// decode checks that a response is complete and decodes it into the reply.
+func decode(resp *http.Response, body []byte, maxAnswer int64, reply *inner.PartReply) error {
 	if int64(len(body)) > maxAnswer {
 		return errors.Newf("response is longer than %d bytes", maxAnswer)
 	}
-	if resp.Header.Get(HeaderRequest) != string(job.part.ID) {
-		return errors.New("response has the ID of another request")
-	}
 	if resp.Header.Get(HeaderDigest) != strconv.FormatUint(xxhash.Sum64(body), 16) {
 		return errors.New("response body does not match its digest")
 	}
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -73,6 +73,8 @@
 	Partial bool `json:"partial"`
 	// WrongRequestID answers with the ID of another request.
 	WrongRequestID bool `json:"crossed"`
+	// CrossedRefusal answers parts that have run with the refusal of another request, as if a copy of that had come late.
+	CrossedRefusal bool `json:"crossedRefusal"`
 	// OtherVersion answers from the index version after the requested one.
 	OtherVersion bool `json:"otherVersion"`
 	// DropAnswer closes the connection after the part has run, without an answer.
@@ -436,9 +438,14 @@
 	if f.DropAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	if f.WrongRequestID {
+	if f.WrongRequestID || f.CrossedRefusal {
 		w.Header().Set(owner.HeaderRequest, "another")
 	}
+	if f.CrossedRefusal {
+		w.Header().Set(owner.HeaderNotRun, "yes")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if f.Partial {
 		w.Header().Set(owner.HeaderPartial, "yes")
 	}
