source, mirror, edge: after the store's return, what was written since holds against older news

Cause: on the store's return from a copy the known state of a domain held against the listed one, whichever it was, until the VM settled; so did a server's removal, against any entry. Nothing asked which of the two is newer.

Change: a listed item at a revision above the known one is newer in any case. A VM asks others for what they hold for 6 s after its start and after each return, where only its start counted.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -92,6 +92,8 @@
 	mirror   mirror.Mirror
 	// settleAt is when items that the store has lost are no longer held, zero if there are none.
 	settleAt time.Time
+	// eraAt is when the mirror took over the era of the store, heldAskedAt when this VM last asked another one for what that holds.
+	eraAt, heldAskedAt time.Time
 
 	quotaMu sync.Mutex
 	quota   *quota.Limiter
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -40,6 +40,8 @@
 	// settleIntervals is how many heartbeat intervals of the servers after the store's return from an older copy the items that it has
 	// lost are held. Entries of servers that have ended are removed after three intervals; entries of the others are back by then.
 	settleIntervals = 5
+	// heldAskInterval is the time between two requests to other VMs for what they hold.
+	heldAskInterval = 500 * time.Millisecond
 )
 
 // syncMirror keeps the mirror up to date until ctx ends. It calls the store when it is this VM's turn; otherwise updates arrive from other
@@ -100,7 +102,7 @@
 		e.log.Warn(componentStore, "store has another era, reading everything again", "era", batch.Era, "before", era, "since", since)
 		return e.readAll(ctx)
 	}
-	e.applyUpdate(mirror.Update{Era: batch.Era, Items: batch.Items, Since: since, AsOf: batch.AsOf}, "store")
+	e.applyUpdate(mirror.Update{Era: batch.Era, Items: batch.Items, Since: since, AsOf: batch.AsOf, Watched: true}, "store")
 	if len(batch.Items) > 0 {
 		clock.Sleep(ctx, watchBatchDelay)
 	}
@@ -239,6 +241,9 @@
 		e.log.Info(componentStore, "update of another era not applied", "era", u.Era, "inForce", before, "complete", u.Complete, "from", from)
 		return 0
 	}
+	if e.mirror.Era() != before {
+		e.eraAt = now
+	}
 	if era := e.mirror.Era(); era != before && before > 0 {
 		e.log.Warn(componentStore, "store has come back from an older copy", "era", era, "before", before, "revision", u.AsOf,
 			"changed", len(changed), "holding", e.mirror.Holding(), "from", from)
@@ -246,12 +251,29 @@
 	if !e.mirror.Holding() {
 		e.settleAt = time.Time{}
 	} else if e.settleAt.IsZero() || e.mirror.Era() != before {
-		e.settleAt = now.Add(settleIntervals * e.settings.Load().ServerHeartbeat())
+		e.settleAt = now.Add(e.settleTime())
 	}
 	e.applyItems(now, changed, from)
 	return len(changed)
 }
 
+// settleTime is how long items that the store has lost are held.
+func (e *Edge) settleTime() time.Duration {
+	return settleIntervals * e.settings.Load().ServerHeartbeat()
+}
+
+// wantsHeld reports whether this VM may lack items that others hold since the store's return, and is to ask for them now.
+func (e *Edge) wantsHeld(now time.Time) bool {
+	e.mirrorMu.Lock()
+	defer e.mirrorMu.Unlock()
+	recent := now.Sub(e.started) < e.settleTime() || now.Sub(e.eraAt) < e.settleTime()
+	if !recent || !e.settleAt.IsZero() || now.Sub(e.heldAskedAt) < heldAskInterval {
+		return false
+	}
+	e.heldAskedAt = now
+	return true
+}
+
 // holding reports whether items are held that the store has lost.
 func (e *Edge) holding() bool {
 	e.mirrorMu.Lock()
--- a/internal/tier/edge/updates.go
+++ b/internal/tier/edge/updates.go
@@ -35,15 +35,14 @@
 	Items    []mirror.Item `json:"items"`
 }
 
-// lacks reports whether another VM has something of the store that this one lacks. A VM that has just started may have read the store,
-// and lack what it has lost.
+// lacks reports whether another VM has something of the store that this one lacks. A VM that has started since what the store has lost was
+// written may have read the store, and lack that.
 func (e *Edge) lacks(now time.Time, d peers.Digest) bool {
 	era, revision := e.position()
 	if d.Newer(era, revision, e.dispatch.version()) {
 		return true
 	}
-	starting := now.Sub(e.started) < settleIntervals*e.settings.Load().ServerHeartbeat()
-	return starting && d.Era == era && d.Holding && !e.holding()
+	return d.Era == era && d.Holding && e.wantsHeld(now)
 }
 
 // startFetch starts to fetch updates from a VM, unless a fetch is already in progress.
--- a/internal/tier/mirror/mirror.go
+++ b/internal/tier/mirror/mirror.go
@@ -19,17 +19,20 @@
 	// Revision is the store revision of the last change.
 	Revision int64 `json:"revision"`
 	Removed  bool  `json:"removed,omitempty"`
+	// Before is the value that a tombstone has replaced, if the store has shown all changes of the item up to its removal.
+	Before []byte `json:"before,omitempty"`
 	// Listed is set for an item that was kept when the store came back from an older copy: what the store holds instead.
 	Listed *Item `json:"listed,omitempty"`
 }
 
 // Update holds items of one era of the store: all of them at the revision AsOf if Complete is set, otherwise the changes after the
-// revision Since up to AsOf.
+// revision Since up to AsOf. Watched says that these come from the store itself, with each state that an item had meanwhile.
 type Update struct {
 	Era         int64
 	Items       []Item
 	Since, AsOf int64
 	Complete    bool
+	Watched     bool
 }
 
 // Rules decide between two states of an item whose revisions cannot be compared. The zero value has no opinion.
@@ -37,7 +40,8 @@
 	// Version returns the version that an item itself holds, or false if it has none. An item with a version never returns to a lower
 	// one or to none, whatever its revision.
 	Version func(Item) (int64, bool)
-	// Keep reports whether a known item is kept for now against the one that a store which has come back from an older copy holds.
+	// Keep reports whether a known item is kept for now against the one that a store which has come back from an older copy holds. It is
+	// asked if the listed item may be part of that copy.
 	Keep func(known, listed Item) bool
 }
 
@@ -69,7 +73,7 @@
 // Apply applies an update and returns the items that changed. It returns false, and changes nothing, for an update of an older era, and for
 // one of a newer era that is not complete: then everything must be read.
 func (m *Mirror) Apply(u Update) (changed []Item, ok bool) {
-	if len(m.items) == 0 {
+	if len(m.items) == 0 && m.asOf == 0 {
 		m.era = max(m.era, u.Era)
 	}
 	switch {
@@ -80,9 +84,29 @@
 	case u.Complete:
 		return m.Replace("", u.Items, u.AsOf), true
 	}
+	if u.Watched && u.Since <= m.asOf {
+		m.recordBefore(u.Items)
+	}
 	return m.Merge(u.Items, u.Since, u.AsOf), true
 }
 
+// recordBefore sets the values that tombstones replace, given all changes since the copy was complete.
+func (m *Mirror) recordBefore(changes []Item) {
+	last := make(map[string][]byte)
+	for i, it := range changes {
+		before, ok := last[it.Key]
+		if known := m.items[it.Key]; !ok {
+			if before = known.Value; known.Removed {
+				before = known.Before
+			}
+		}
+		if it.Removed {
+			changes[i].Before = before
+		}
+		last[it.Key] = it.Value
+	}
+}
+
 // Merge applies changes that are complete from the revision since to asOf and returns those that were new. The copy counts as
 // complete up to asOf only if it was complete up to since.
 func (m *Mirror) Merge(changes []Item, since, asOf int64) []Item {
@@ -136,7 +160,8 @@
 // Rebase applies the complete list of items of a newer era at the revision asOf, and returns the resulting changes.
 //
 // The store has lost its last changes, which will be published again. Until then Rules.Keep decides which of the known items outlive the
-// list; Settle ends that. Their revision is asOf, so that any later change replaces them.
+// list; Settle ends that. Their revision is asOf, so that any later change replaces them. A listed item whose revision is above that of the known
+// one is newer in any case: it was changed later before the copy was made, or has been published since the store's return.
 func (m *Mirror) Rebase(era int64, items []Item, asOf int64) []Item {
 	known := m.items
 	m.items, m.tombstones = make(map[string]Item, len(items)), 0
@@ -179,7 +204,9 @@
 	case ok && order < 0:
 		known.Revision, known.Listed = m.asOf, nil
 		return known
-	case ok, listed.Listed != nil, m.Rules.Keep == nil, !m.Rules.Keep(known, listed):
+	case ok, listed.Listed != nil, m.Rules.Keep == nil:
+		return listed
+	case !listed.Removed && listed.Revision > known.Revision, !m.Rules.Keep(known, listed):
 		return listed
 	}
 	known.Revision, known.Listed = m.asOf, &listed
