pacer, edge: a server's limit holds until the server says otherwise

Cause: a limit of which no VM had heard for 20 to 30 s lapsed, and nothing bounded the requests before the next answer. On related paths a limit was dropped with the entry of its server, was not told to VMs that start, and was taken whole by a VM that knew no fleet yet.

Evidence: on TestLimitInTurmoil/clients_return_all_at_once_after_a_time_in_which_no_VM_heard_from_the_server fails (9 of 5, 13 of 11, 30 of 5).

Change: no lapse; VMs without a share take turns with probes, one each 5 s, so that the end of a limit of 0 is found. Limits go with a start of the server and outlive its entry; VMs that start hear of all; shares follow the claims of escrow. TestLimitEnds wanted no limit after 31 s without news, which is the fault: it now wants one probe, no second one, and the end by its answer; the retention of a minute is covered by claims.

Measured: pacer's tests pass.

--- a/internal/lab/surge/surge.go
+++ b/internal/lab/surge/surge.go
@@ -140,7 +140,7 @@
 		for k, kind := range p.Kinds {
 			v.latency[k].Init(kind.Work)
 		}
-		v.pacer.SetFleet(sim.instant(), fleet[i].Name, fleet)
+		v.pacer.SetFleet(sim.instant(), fleet[i].Name, fleet, nil, 1)
 		for shard, servers := range sim.replicas {
 			for _, srv := range servers {
 				v.roster.Update(sim.instant(), roster.Entry{Server: srv.name, Service: shard, Slots: p.Slots, Started: 1})
@@ -188,7 +188,7 @@
 	}
 	sim.After(gossipInterval, func() {
 		for _, from := range sim.vms {
-			reports := from.pacer.Reports(sim.instant(), false)
+			reports := from.pacer.Reports(sim.instant())
 			for _, to := range sim.vms {
 				if to != from {
 					to.pacer.ApplyReports(sim.instant(), reports)
--- a/internal/limit/pacer/fleet.go
+++ b/internal/limit/pacer/fleet.go
@@ -8,12 +8,8 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 )
 
-const (
-	// memberRetention is how long a VM keeps its share after it was last seen: it may be unreachable only from here, and still send to servers.
-	memberRetention = time.Minute
-	// busyRetention is how long a VM that is seen keeps the share of one with clients after it last had some.
-	busyRetention = 10 * time.Second
-)
+// busyRetention is how long a VM that is seen keeps the share of one with clients after it last had some.
+const busyRetention = 10 * time.Second
 
 // VM is a VM that may send requests to servers.
 type VM struct {
@@ -24,7 +20,9 @@
 
 // fleet holds the VMs that share the limits.
 type fleet struct {
-	self     ident.VM
+	self ident.VM
+	// scale is how much of the limits the VMs may use.
+	scale    float64
 	lastSeen map[ident.VM]time.Time
 	lastBusy map[ident.VM]time.Time
 	// busy and idle are the VMs that were seen lately, sorted by name. generation counts their changes, from 1.
@@ -37,8 +35,9 @@
 	rate, burst float64
 }
 
-// SetFleet passes in the VMs that are alive and share the limits; self is this VM.
-func (l *Limiter) SetFleet(now time.Time, self ident.VM, vms []VM) {
+// SetFleet passes in the VMs that are alive and share the limits; self is this VM. Those that it has passed in before and that are among members
+// keep their shares: they may be unreachable only from here, and still send to servers. scale is how much of the limits all of them may use.
+func (l *Limiter) SetFleet(now time.Time, self ident.VM, vms []VM, members []ident.VM, scale float64) {
 	f := &l.fleet
 	if f.lastSeen == nil {
 		f.lastSeen, f.lastBusy = make(map[ident.VM]time.Time), make(map[ident.VM]time.Time)
@@ -50,7 +49,7 @@
 			f.lastBusy[vm.Name] = now
 		}
 	}
-	maps.DeleteFunc(f.lastSeen, func(_ ident.VM, last time.Time) bool { return now.Sub(last) > memberRetention })
+	maps.DeleteFunc(f.lastSeen, func(vm ident.VM, last time.Time) bool { return last.Before(now) && !slices.Contains(members, vm) })
 	maps.DeleteFunc(f.lastBusy, func(vm ident.VM, last time.Time) bool {
 		seen, ok := f.lastSeen[vm]
 		return !ok || seen.Sub(last) > busyRetention
@@ -63,8 +62,8 @@
 			idle = append(idle, name)
 		}
 	}
-	if f.generation == 0 || !slices.Equal(busy, f.busy) || !slices.Equal(idle, f.idle) {
-		f.busy, f.idle = busy, idle
+	if f.generation == 0 || scale != f.scale || !slices.Equal(busy, f.busy) || !slices.Equal(idle, f.idle) {
+		f.busy, f.idle, f.scale = busy, idle, scale
 		f.generation++
 	}
 }
@@ -103,5 +102,15 @@
 	if own == 0 {
 		return share{}
 	}
-	return share{rate: rate * own / total, burst: max(1, burst*own/total)}
+	return share{rate: f.scale * rate * own / total, burst: max(1, f.scale*burst*own/total)}
+}
+
+// turn returns this VM's index among all VMs, and their number. Without a fleet it is the only one.
+func (f *fleet) turn() (index, n int) {
+	all := slices.Concat(f.busy, f.idle)
+	if len(all) == 0 {
+		return 0, 1
+	}
+	slices.Sort(all)
+	return slices.Index(all, f.self), len(all)
 }
--- a/internal/limit/pacer/pacer.go
+++ b/internal/limit/pacer/pacer.go
@@ -1,7 +1,6 @@
 package pacer
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -22,16 +21,19 @@
 	scarceTokens = 2
 	// refreshInterval is the time without an answer after which a server is no longer scarce, so that the end of its limit is noticed.
 	refreshInterval = time.Second
-	// A limit of which no VM has heard for staleTimeout, and a part of staleSpread that differs by VM, no longer holds. Otherwise a
-	// server that receives no requests would keep its limit.
-	staleTimeout = 20 * time.Second
-	staleSpread  = 10 * time.Second
+	// A VM without a share of a limit of which no VM has heard for staleTimeout may send a probe now and then: otherwise nobody would learn
+	// that a limit of 0 has ended. The VMs take turns, probeInterval each.
+	staleTimeout  = 20 * time.Second
+	probeInterval = 5 * time.Second
 	// reportWindow is how long after an answer what it says is reported to other VMs, and maxReports the number of servers in a report.
 	reportWindow = 2 * time.Second
 	maxReports   = 128
 	// maxRate is the highest rate that is told from a higher one, and maxReportAge the age of a report that is still applied.
 	maxRate      = 1e9
-	maxReportAge = time.Minute
+	maxReportAge = time.Hour
+	// The limit of a server without an entry is kept for retention, in case the entry comes back, and at most maxServers of them.
+	retention  = time.Hour
+	maxServers = 4096
 	// never is the delay of a VM without a share.
 	never = time.Duration(math.MaxInt64)
 )
@@ -48,12 +50,16 @@
 	// rate is the named limit in requests per second for the whole fleet. It is in force if limited is set.
 	rate    float64
 	limited bool
+	// start is the start of the server's process that named the limit, empty if it is not known.
+	start string
 	// heardAt is when the last answer on which the belief rests was received, by this VM or another one. ownAt is when this VM received
 	// one, and since when the limit was first named.
 	heardAt, ownAt, since time.Time
 	// tokens is the number of requests that may be sent, as of accruedAt. It is below 0 if requests were sent at the same instant.
 	tokens    float64
 	accruedAt time.Time
+	// probedAt is when the VM last sent a probe.
+	probedAt time.Time
 	// promises holds the times until which tokens are kept for waiting requests.
 	promises []time.Time
 	// share caches the VM's share for the rate and the fleet of the given generation.
@@ -117,27 +123,37 @@
 // Delay returns the time until a request may be sent to a server, 0 if it may be sent now. It is far in the future for a VM without a share.
 // promised says that the request has a promise for the server; tokens that are promised to others are not available to a request without.
 func (l *Limiter) Delay(now time.Time, name ident.Server, promised bool) time.Duration {
-	s := l.inForce(now, name)
+	s := l.inForce(name)
 	if s == nil {
 		return 0
 	}
 	sh := l.shareOf(name, s)
+	if sh.rate <= 0 {
+		return l.probeDelay(now, s)
+	}
 	available := s.available(now, sh)
 	if promised {
 		available = s.tokens
 	}
-	switch {
-	case available >= 1 && sh.rate > 0:
+	if available >= 1 {
 		return 0
-	case sh.rate <= 0:
-		return never
 	}
 	return time.Duration((1 - available) / sh.rate * float64(time.Second))
 }
 
+// probeDelay returns 0 if it is this VM's turn to send a probe to a server of whose limit it has no share.
+func (l *Limiter) probeDelay(now time.Time, s *server) time.Duration {
+	unheard := now.Sub(s.heardAt) - staleTimeout
+	index, n := l.fleet.turn()
+	if unheard < 0 || n == 0 || int(unheard/probeInterval)%n != index || now.Sub(s.probedAt) < probeInterval {
+		return never
+	}
+	return 0
+}
+
 // Scarce reports whether a server has so few tokens left that first attempts should go to another one.
 func (l *Limiter) Scarce(now time.Time, name ident.Server) bool {
-	s := l.inForce(now, name)
+	s := l.inForce(name)
 	return s != nil && now.Sub(s.heardAt) < refreshInterval && s.available(now, l.shareOf(name, s)) < scarceTokens
 }
 
@@ -157,31 +173,60 @@
 
 // RecordSend takes a token for a request to a server and counts it, and reports whether the server names a limit.
 func (l *Limiter) RecordSend(now time.Time, name ident.Server, u Use) bool {
-	s := l.inForce(now, name)
+	s := l.inForce(name)
 	if s == nil {
 		return false
 	}
-	s.accrue(now, l.shareOf(name, s))
+	sh := l.shareOf(name, s)
+	s.accrue(now, sh)
 	s.tokens--
+	if sh.rate <= 0 {
+		s.probedAt = now
+	}
 	s.sent.Add(u)
 	return true
 }
 
-// Forget removes a server, for instance because it has started again.
-func (l *Limiter) Forget(name ident.Server) { delete(l.servers, name) }
+// SetStart records which start of a server's process named its limit.
+func (l *Limiter) SetStart(name ident.Server, start string) {
+	if s := l.servers[name]; s != nil {
+		s.start = start
+	}
+}
 
-// Prune removes the servers whose limit ended or was last heard of too long ago to matter.
-func (l *Limiter) Prune(now time.Time) {
-	maps.DeleteFunc(l.servers, func(name ident.Server, s *server) bool {
-		return now.Sub(s.heardAt) > reportWindow && l.inForce(now, name) == nil
-	})
+// Begin records that a server has an entry that names a start of its process. The limit of another start no longer holds; that of the same one
+// does, also if the server had no entry meanwhile.
+func (l *Limiter) Begin(name ident.Server, start string) {
+	if s := l.servers[name]; s != nil && s.start != "" && s.start != start {
+		delete(l.servers, name)
+	}
+}
+
+// Prune removes the servers whose limit has ended, and those without an entry whose limit was last heard of too long ago to matter. known
+// reports whether a server has an entry.
+func (l *Limiter) Prune(now time.Time, known func(ident.Server) bool) {
+	var gone []ident.Server
+	for name, s := range l.servers {
+		switch {
+		case !s.limited && now.Sub(s.heardAt) > reportWindow:
+			delete(l.servers, name)
+		case !known(name):
+			gone = append(gone, name)
+		}
+	}
+	slices.SortFunc(gone, func(a, b ident.Server) int { return l.servers[b].heardAt.Compare(l.servers[a].heardAt) })
+	for i, name := range gone {
+		if i >= maxServers || now.Sub(l.servers[name].heardAt) > retention {
+			delete(l.servers, name)
+		}
+	}
 }
 
 // Limited returns the number of servers that name a limit.
-func (l *Limiter) Limited(now time.Time) int {
+func (l *Limiter) Limited() int {
 	n := 0
 	for name := range l.servers {
-		if l.inForce(now, name) != nil {
+		if l.inForce(name) != nil {
 			n++
 		}
 	}
@@ -201,16 +246,11 @@
 }
 
 // inForce returns the state of a server whose limit holds, or nil.
-func (l *Limiter) inForce(now time.Time, name ident.Server) *server {
-	s := l.servers[name]
-	if s == nil || !s.limited {
-		return nil
-	}
-	spread := time.Duration(ident.Score(string(name), string(l.fleet.self)) % uint64(staleSpread))
-	if now.Sub(s.heardAt) > staleTimeout+spread {
-		return nil
+func (l *Limiter) inForce(name ident.Server) *server {
+	if s := l.servers[name]; s != nil && s.limited {
+		return s
 	}
-	return s
+	return nil
 }
 
 // available returns the tokens that are not promised.
--- a/internal/limit/pacer/pacer_test.go
+++ b/internal/limit/pacer/pacer_test.go
@@ -95,13 +95,22 @@
 				alive = append(alive, pacer.VM{Name: o.name, Busy: o.demand > 0})
 			}
 			if o != vm && !o.cut && !vm.cut {
-				vm.ApplyReports(s.now, o.Reports(s.now.Add(-reportDelay), false))
+				vm.ApplyReports(s.now, o.Reports(s.now.Add(-reportDelay)))
 			}
 		}
-		vm.SetFleet(s.now, vm.name, alive)
+		vm.SetFleet(s.now, vm.name, alive, s.names(), 1)
 	}
 }
 
+// names returns the names of all VMs.
+func (s *sim) names() []ident.VM {
+	var out []ident.VM
+	for _, vm := range s.vms {
+		out = append(out, vm.name)
+	}
+	return out
+}
+
 // most returns the highest number of requests in any window since a time.
 func (s *sim) most(since time.Time) int {
 	later := slices.IndexFunc(s.arrivals, func(at time.Time) bool { return !at.Before(since) })
@@ -193,17 +202,24 @@
 			s := newSim(1, 73, 73)
 			s.limit, s.limited = rate, true
 			s.run(5 * time.Second)
-			for _, vm := range s.vms {
-				vm.demand = 0.001
-			}
-			s.run(15 * time.Second)
-			for _, vm := range s.vms {
-				vm.demand = 5
-			}
-			s.run(6 * time.Second)
+			s.lull(15*time.Second, 0.001, 5)
 			s.assertBound(t, start.Add(notice))
 		}
 	})
+	// Guards against a limit that is forgotten while its server gets nothing, and still names it.
+	t.Run("clients return all at once after a time in which no VM heard from the server", func(t *testing.T) {
+		for _, vms := range []int{3, 9, 73} {
+			for _, rate := range []float64{0, 0.2, 1, 5} {
+				for _, lull := range []time.Duration{25 * time.Second, 40 * time.Second} {
+					s := newSim(1, vms, vms)
+					s.limit, s.limited = rate, true
+					s.run(5 * time.Second)
+					s.lull(lull, 0, fleetDemand/float64(vms))
+					s.assertBound(t, start.Add(notice))
+				}
+			}
+		}
+	})
 	t.Run("the limit falls", func(t *testing.T) {
 		s := newSim(1, 9, 4)
 		s.limit, s.limited = 40, true
@@ -215,6 +231,18 @@
 	})
 }
 
+// lull lets all VMs have a low demand for a time, and then a high one.
+func (s *sim) lull(d time.Duration, low, high float64) {
+	for _, vm := range s.vms {
+		vm.demand = low
+	}
+	s.run(d)
+	for _, vm := range s.vms {
+		vm.demand = high
+	}
+	s.run(6 * time.Second)
+}
+
 // assertUnlimited checks that a VM may send to the server several times at once.
 func assertUnlimited(t *testing.T, now time.Time, vm *simVM) {
 	t.Helper()
@@ -238,16 +266,46 @@
 			assertUnlimited(t, s.now, vm)
 		}
 	})
-	t.Run("for a VM that hears nothing any more", func(t *testing.T) {
+	t.Run("for a VM that hears nothing any more by a probe", func(t *testing.T) {
 		vm := &simVM{name: "vm0"}
 		vm.Observe(start, start, "a", pacer.Statement{Rate: 0, Limited: true})
 		if d := vm.Delay(start.Add(15*time.Second), "a", false); d <= 0 {
 			t.Error("the limit has ended after 15 s, want it in force")
 		}
-		assertUnlimited(t, start.Add(31*time.Second), vm)
-		vm.Prune(start.Add(31 * time.Second))
-		if n := vm.Len(); n != 0 {
-			t.Errorf("%d servers are kept, want none", n)
+		later := start.Add(31 * time.Second)
+		if d := vm.Delay(later, "a", false); d > 0 {
+			t.Error("no probe may be sent after 31 s, want one")
+		}
+		vm.RecordSend(later, "a", pacer.UseFirst)
+		if d := vm.Delay(later.Add(time.Second), "a", false); d <= 0 {
+			t.Error("another probe may be sent a second later, want none")
+		}
+		vm.Observe(later.Add(time.Second), later, "a", pacer.Statement{})
+		assertUnlimited(t, later.Add(time.Second), vm)
+	})
+	t.Run("for all VMs with the probe of one", func(t *testing.T) {
+		s := newSim(1, 9, 9)
+		s.limit, s.limited = 0, true
+		s.run(5 * time.Second)
+		s.limited = false
+		s.run(30 * time.Second)
+		for _, vm := range s.vms {
+			assertUnlimited(t, s.now, vm)
+		}
+	})
+	t.Run("never for a server with an entry, and after a while for one without", func(t *testing.T) {
+		vm := &simVM{name: "vm0"}
+		for _, name := range []ident.Server{"a", "b"} {
+			vm.Observe(start, start, name, pacer.Statement{Rate: 1, Limited: true})
+		}
+		known := func(name ident.Server) bool { return name == "a" }
+		for _, c := range []struct {
+			after time.Duration
+			want  int
+		}{{time.Minute, 2}, {2 * time.Hour, 1}} {
+			if vm.Prune(start.Add(c.after), known); vm.Len() != c.want {
+				t.Errorf("%d servers are kept after %v, want %d", vm.Len(), c.after, c.want)
+			}
 		}
 	})
 	t.Run("not by an answer that was overtaken", func(t *testing.T) {
@@ -274,7 +332,12 @@
 	t.Run("with the server's next start", func(t *testing.T) {
 		vm := &simVM{name: "vm0"}
 		vm.Observe(start, start, "a", pacer.Statement{Rate: 0.1, Limited: true})
-		vm.Forget("a")
+		vm.SetStart("a", "1")
+		vm.Begin("a", "1")
+		if d := vm.Delay(start, "a", false); d <= 0 {
+			t.Error("the limit has ended with an entry of the same start, want it in force")
+		}
+		vm.Begin("a", "2")
 		assertUnlimited(t, start, vm)
 	})
 }
@@ -318,7 +381,7 @@
 	vms := []pacer.VM{{Name: "vm0", Busy: true}, {Name: "vm1", Busy: true}, {Name: "vm2"}}
 	for _, rate := range []float64{1e19, 1e300, math.MaxFloat64} {
 		var l pacer.Limiter
-		l.SetFleet(start, "vm0", vms)
+		l.SetFleet(start, "vm0", vms, []ident.VM{"vm0", "vm1", "vm2"}, 1)
 		l.Observe(start, start, "a", pacer.Statement{Rate: rate, Limited: true})
 		l.ApplyReports(start, map[ident.Server]pacer.Report{"b": {Rate: rate}, "c": {Rate: 1, AgeMs: math.MaxInt64}})
 		for _, name := range []ident.Server{"a", "b", "c"} {
--- a/internal/limit/pacer/report.go
+++ b/internal/limit/pacer/report.go
@@ -15,16 +15,22 @@
 	AgeMs int64 `json:"m,omitempty"`
 }
 
-// Reports returns what this VM has heard from servers itself lately. With relayed, it includes what it knows from others; reports of these
-// must not be passed on by their receivers, as their age would be lost on the way.
-func (l *Limiter) Reports(now time.Time, relayed bool) map[ident.Server]Report {
+// Reports returns what this VM has heard from servers itself lately.
+func (l *Limiter) Reports(now time.Time) map[ident.Server]Report {
+	return l.reports(now, func(s *server) time.Time { return s.ownAt }, reportWindow)
+}
+
+// AllReports returns what this VM has heard from servers itself or by others, within a time. Reports of it must not be passed on by their
+// receivers, as their age would be lost on the way.
+func (l *Limiter) AllReports(now time.Time, within time.Duration) map[ident.Server]Report {
+	return l.reports(now, func(s *server) time.Time { return s.heardAt }, within)
+}
+
+func (l *Limiter) reports(now time.Time, heardAt func(*server) time.Time, within time.Duration) map[ident.Server]Report {
 	var out map[ident.Server]Report
 	for name, s := range l.servers {
-		heard := s.ownAt
-		if relayed {
-			heard = s.heardAt
-		}
-		if now.Sub(heard) > reportWindow || len(out) >= maxReports {
+		heard := heardAt(s)
+		if now.Sub(heard) > within || len(out) >= maxReports {
 			continue
 		}
 		if out == nil {
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -348,12 +348,12 @@
 }
 
 // flushLimited returns how many servers name a limit and the requests sent to them since the last call.
-func (d *dispatch) flushLimited(now time.Time) (int, pacer.Counts) {
+func (d *dispatch) flushLimited() (int, pacer.Counts) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sent := d.limitedSends
 	d.limitedSends = pacer.Counts{}
-	return d.pacer.Limited(now), sent
+	return d.pacer.Limited(), sent
 }
 
 // serverChange holds the changes in the state of a server that the result of an attempt causes.
@@ -386,7 +386,7 @@
 	var load *header.Load
 	h, server := s.handle, s.target.Server
 	if res.Answer != nil && res.Verdict != gather.VerdictMisplaced {
-		change.limit, change.badLimit = d.observeLimit(now, now.Add(-took), server, res.Answer.Header.Get(names.Limit))
+		change.limit, change.badLimit = d.observeLimit(now, now.Add(-took), s, res.Answer.Header.Get(names.Limit))
 		d.observeStatement(now, s, res.Answer, names, &change)
 	}
 	if res.Answer != nil {
@@ -433,7 +433,7 @@
 	defer d.mu.Unlock()
 	d.retries.Prune(now)
 	d.warmupLimiter.Prune(now)
-	d.pacer.Prune(now)
+	d.pacer.Prune(now, func(s ident.Server) bool { return d.roster.Member(s) != nil })
 	d.roster.PruneStatements(now)
 	if d.table == nil {
 		return nil
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -298,7 +298,7 @@
 
 // reportLimited logs and counts the requests sent to servers that name a limit since the last call.
 func (e *Edge) reportLimited() {
-	servers, sent := e.dispatch.flushLimited(time.Now())
+	servers, sent := e.dispatch.flushLimited()
 	e.metrics.limited(servers, sent)
 	if servers+sent.Total() > 0 {
 		e.log.Info(componentServers, "requests to servers with a limit", "servers", servers, "first", sent.First, "hedges", sent.Hedges,
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -40,6 +40,10 @@
 	replyMaxAge = 50 * time.Millisecond
 	// teamReportWindow is how long after its last request a team is included in heartbeats.
 	teamReportWindow = 2 * time.Second
+	// relayedLimitAge is how long after a server has named a limit VMs outside the core group are told of it, startLimitAge the same for VMs
+	// that start, which hear of all that hold.
+	relayedLimitAge = 2 * time.Second
+	startLimitAge   = time.Hour
 )
 
 // fleet holds the state of the other VMs and the means to communicate with them.
@@ -97,7 +101,7 @@
 	d.mu.Lock()
 	servingBefore := d.serving
 	d.serving = serving
-	d.pacer.SetFleet(now, d.self, limitVMs(c, ready))
+	d.pacer.SetFleet(now, d.self, limitVMs(c, ready), d.vms, d.scale)
 	expired := d.roster.RemoveExpired(now)
 	d.mu.Unlock()
 	if servingBefore != serving {
@@ -269,7 +273,12 @@
 		m.Levels = e.quota.LowLevels(now)
 		e.quotaMu.Unlock()
 		e.dispatch.mu.Lock()
-		m.ServerLimits = e.dispatch.pacer.Reports(now, true)
+		m.ServerLimits = e.dispatch.pacer.AllReports(now, relayedLimitAge)
+		e.dispatch.mu.Unlock()
+	}
+	if to.Phase == peers.PhaseStarting {
+		e.dispatch.mu.Lock()
+		m.ServerLimits = e.dispatch.pacer.AllReports(now, startLimitAge)
 		e.dispatch.mu.Unlock()
 	}
 	return m
@@ -279,7 +288,7 @@
 func (e *Edge) newMessage(now time.Time) peers.Message {
 	m := peers.Message{From: e.digest(now)}
 	e.dispatch.mu.Lock()
-	m.ServerLimits = e.dispatch.pacer.Reports(now, false)
+	m.ServerLimits = e.dispatch.pacer.Reports(now)
 	m.ServerStatements = e.dispatch.roster.Reports(now)
 	e.dispatch.mu.Unlock()
 	e.fleet.mu.Lock()
@@ -431,6 +440,7 @@
 	for server := range changes {
 		if known := d.roster.Member(server); known != nil {
 			services[server] = known.Entry().Service
+			d.pacer.SetStart(server, known.Entry().Start().String())
 		}
 	}
 	avoided := d.roster.ApplyReports(now, m.ServerStatements)
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -326,8 +326,8 @@
 		if fresh {
 			d.balancer.Forget(ev.Entry.Server)
 			d.warmupLimiter.Forget(ev.Entry.Server)
-			d.pacer.Forget(ev.Entry.Server)
 		}
+		d.pacer.Begin(ev.Entry.Server, ev.Entry.Start().String())
 		d.mu.Unlock()
 		e.log.Info(componentServers, "server entry published", "server", ev.Entry.Server, "service", ev.Entry.Service, "new", fresh,
 			"leaving", ev.Entry.Leaving, "coldMs", ms(ev.Entry.ColdFor), "revision", revision, "from", from)
--- a/internal/tier/edge/statement.go
+++ b/internal/tier/edge/statement.go
@@ -59,7 +59,8 @@
 }
 
 // observeLimit applies the limit that an answer names, empty for none, and returns the change, or the text if it cannot be read.
-func (d *dispatch) observeLimit(now, sent time.Time, server ident.Server, text string) (change pacer.Change, malformed string) {
+func (d *dispatch) observeLimit(now, sent time.Time, s sending, text string) (change pacer.Change, malformed string) {
+	server := s.target.Server
 	if text == "" {
 		return d.pacer.Observe(now, sent, server, pacer.Statement{}), ""
 	}
@@ -67,5 +68,7 @@
 	if !ok {
 		return nil, text
 	}
-	return d.pacer.Observe(now, sent, server, pacer.Statement{Rate: rate, Limited: true}), ""
+	change = d.pacer.Observe(now, sent, server, pacer.Statement{Rate: rate, Limited: true})
+	d.pacer.SetStart(server, s.start.String())
+	return change, ""
 }
--- a/internal/tier/roster/statement.go
+++ b/internal/tier/roster/statement.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
@@ -24,6 +25,9 @@
 	Address string
 }
 
+// String returns the start as one text.
+func (s Start) String() string { return strconv.FormatInt(s.Started, 10) + "@" + s.Address }
+
 // Start returns the start that the entry belongs to.
 func (e Entry) Start() Start { return Start{Started: e.Started, Address: e.Address} }
 
