link, edge: the bytes of all answers together are bounded

Cause: a complete answer counted no more, while it waits for other parts or for a slow client.

Change: head and body of an answer count until Answer.Release; 32 MB for all answers, 24 MB of it for incomplete ones; what passes that is lost like an answer that breaks off. Released: parts and failures once the client has its answer, late, superfluous and refusing answers at once. A metric shows the bytes held, the test sees them go back to 0.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -156,6 +156,7 @@
 	links, closeLinks := link.New(opts.Names)
 	workers, closeWorkers := worker.New(maxIdleWorkers)
 	e.links, e.workers = links, workers
+	e.metrics.watchHeldBytes(links.HeldBytes)
 	e.cleanups = append(e.cleanups, closeLinks, closeWorkers)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cleanups = append(e.cleanups, cancel)
--- a/internal/tier/edge/meter.go
+++ b/internal/tier/edge/meter.go
@@ -73,6 +73,13 @@
 	return m
 }
 
+// watchHeldBytes adds a metric of the bytes of answers that are held.
+func (m *meter) watchHeldBytes(held func() int64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "kumquatreel_edge_held_answer_bytes", Help: "Bytes of the servers' answers that are held.",
+	}, func() float64 { return float64(held()) }))
+}
+
 func (m *meter) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -74,6 +74,14 @@
 	skipped    place.Skipped
 }
 
+// release says that the answers are no longer used.
+func (o outcome) release() {
+	for _, p := range o.parts {
+		p.Release()
+	}
+	o.lastFailed.Release()
+}
+
 // attemptResult is the result of sending a part to a server.
 type attemptResult struct {
 	send gather.Send
@@ -175,6 +183,10 @@
 	go func() {
 		j.running.Wait()
 		j.cancel()
+		// Answers that have come too late are not used.
+		for len(j.results) > 0 {
+			(<-j.results).res.Answer.Release()
+		}
 	}()
 	j.out.reason, _ = j.state.Done()
 	j.out.enough = j.state.CoverageMet()
@@ -223,13 +235,14 @@
 
 func (j *job) handleResult(f attemptResult) {
 	now := time.Now()
-	if f.res.Answer != nil {
-		if f.res.Verdict == gather.VerdictAnswered && !j.state.Answered(f.send.Shard) {
-			j.out.parts[f.send.Shard] = f.res.Answer
-		}
-		if f.res.Verdict == gather.VerdictFailed {
-			j.out.lastFailed = f.res.Answer
-		}
+	switch {
+	case f.res.Verdict == gather.VerdictAnswered && !j.state.Answered(f.send.Shard):
+		j.out.parts[f.send.Shard] = f.res.Answer
+	case f.res.Verdict == gather.VerdictFailed:
+		j.out.lastFailed.Release()
+		j.out.lastFailed = f.res.Answer
+	default:
+		f.res.Answer.Release()
 	}
 	if f.res.Verdict == gather.VerdictRefused {
 		j.out.refused++
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -88,6 +88,7 @@
 		e.log.Warn(componentRequest, "cannot set write deadline of an answer", "id", rq.id, "error", err.Error())
 	}
 	out := e.run(r.Context(), rq)
+	defer out.release()
 	if out.clientGone {
 		e.metrics.clientGone(rq)
 		e.traffic.recordClientGone()
--- a/internal/tier/link/budget.go
+++ b/internal/tier/link/budget.go
@@ -9,21 +9,49 @@
 	// minPieceBytes and maxPieceBytes bound the pieces in which a body is read.
 	minPieceBytes = 4 << 10
 	maxPieceBytes = 64 << 10
-	// maxIncompleteBytes bounds the bytes of incomplete bodies on all connections.
+	// maxHeldBytes bounds the bytes of all answers from their arrival until their release, maxIncompleteBytes those of the incomplete bodies
+	// among them, so that complete answers have room beside bytes without end.
+	maxHeldBytes       = 32 << 20
 	maxIncompleteBytes = 24 << 20
 )
 
-// byteBudget bounds the bytes of incomplete answers on all connections, since servers may send bytes without end on many at once.
-// The zero value is ready to use.
+// byteBudget bounds the bytes of the answers on all connections: servers may send bytes without end on many at once, and complete answers wait for
+// other parts and for slow clients. The zero value is ready to use.
 type byteBudget struct {
-	held atomic.Int64
+	held, incomplete atomic.Int64
 }
 
-// take counts n bytes as held and reports whether all held bytes are within the budget.
-func (b *byteBudget) take(n int64) bool { return b.held.Add(n) <= maxIncompleteBytes }
+// take counts n bytes of an incomplete answer and reports whether all are within the budget.
+func (b *byteBudget) take(n int64) bool {
+	held, incomplete := b.held.Add(n), b.incomplete.Add(n)
+	return held <= maxHeldBytes && incomplete <= maxIncompleteBytes
+}
+
+// complete records that an answer of n bytes is complete. It is held until it is released.
+func (b *byteBudget) complete(n int64) { b.incomplete.Add(-n) }
 
+// release records that n bytes of a complete answer are no longer held.
 func (b *byteBudget) release(n int64) { b.held.Add(-n) }
 
+// drop records that n bytes of an incomplete answer are no longer held.
+func (b *byteBudget) drop(n int64) {
+	b.complete(n)
+	b.release(n)
+}
+
+// holding is the memory of one answer. The zero value holds nothing.
+type holding struct {
+	budget *byteBudget
+	bytes  atomic.Int64
+}
+
+// release returns the memory to the budget, once.
+func (h *holding) release() {
+	if n := h.bytes.Swap(0); n > 0 {
+		h.budget.release(n)
+	}
+}
+
 // limitedReader fails with errTooLarge once the bytes that are left have been read.
 type limitedReader struct {
 	r    io.Reader
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -40,7 +40,7 @@
 	errTruncated = errors.New("answer is truncated")
 	errInterim   = errors.New("too many interim answers")
 	errUnasked   = errors.New("server sent bytes on a new connection before a request")
-	errMemory    = errors.New("too many bytes of incomplete answers are held")
+	errMemory    = errors.New("too many bytes of answers are held")
 )
 
 // conn is a connection that carries one request at a time.
@@ -135,12 +135,14 @@
 		}
 		echoed := answer.Header.Get(idHeader)
 		if echoed != "" && echoed != id {
+			answer.Release()
 			if closes {
 				return nil, false, errStale
 			}
 			continue
 		}
 		if echoed == "" && c.uses > 0 {
+			answer.Release()
 			return nil, false, errUntagged
 		}
 		c.applyKeepAlive(answer.Header.Get("Keep-Alive"))
@@ -154,35 +156,48 @@
 func (c *conn) read(method string, maxBytes int64) (*Answer, bool, error) {
 	for range maxInterimAnswers {
 		c.limit.left = maxHeadBytes
+		buffered := c.br.Buffered()
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, false, errors.Errorf("read answer: %w", err)
 		}
+		head := maxHeadBytes - c.limit.left + int64(buffered-c.br.Buffered())
 		c.limit.left = math.MaxInt64
-		body, err := c.readBody(resp, maxBytes)
+		body, err := c.readBody(resp, head, maxBytes)
 		if err != nil {
 			// Close would read the rest of the body, which may have no end. The caller closes the connection.
 			return nil, false, err
 		}
+		answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, memory: holding{budget: c.memory}}
+		answer.memory.bytes.Store(head + int64(len(body)))
 		if err := resp.Body.Close(); err != nil {
+			answer.Release()
 			return nil, false, errors.Errorf("close answer: %w", err)
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, resp.Close, nil
+			return answer, resp.Close, nil
 		}
+		answer.Release()
 	}
 	return nil, false, errInterim
 }
 
-// readBody returns the complete body of an answer. Memory is taken as the bytes arrive, whatever length is announced, and counts
-// against the budget of all connections until the body is complete.
-func (c *conn) readBody(resp *http.Response, maxBytes int64) ([]byte, error) {
+// readBody returns the complete body of an answer, whose head has the given size. Memory is taken as the bytes arrive, whatever length is
+// announced. Unless an error is returned, head and body stay held.
+func (c *conn) readBody(resp *http.Response, head, maxBytes int64) (body []byte, err error) {
 	if resp.ContentLength > maxBytes {
 		return nil, errTooLarge
 	}
 	var pieces [][]byte
 	total := int64(0)
-	defer func() { c.memory.release(total) }()
+	allowed := c.memory.take(head)
+	defer func() {
+		if err != nil {
+			c.memory.drop(head + total)
+		} else {
+			c.memory.complete(head + total)
+		}
+	}()
 	size := int64(minPieceBytes)
 	if resp.ContentLength >= 0 {
 		size = min(resp.ContentLength, maxPieceBytes)
@@ -192,16 +207,16 @@
 		n, err := fill(resp.Body, piece)
 		pieces = append(pieces, piece[:n])
 		total += int64(n)
-		allowed := c.memory.take(int64(n))
+		allowed = c.memory.take(int64(n)) && allowed
 		switch {
 		case total > maxBytes:
 			return nil, errTooLarge
+		case !allowed:
+			return nil, errMemory
 		case errors.Is(err, io.EOF) || err == nil && total == resp.ContentLength:
 			return join(pieces), nil
 		case err != nil:
 			return nil, errors.Errorf("%w: %w", errTruncated, err)
-		case !allowed:
-			return nil, errMemory
 		}
 		size = min(2*size, maxPieceBytes)
 	}
--- a/internal/tier/link/endless_test.go
+++ b/internal/tier/link/endless_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -193,3 +195,33 @@
 		t.Errorf("%d MB were allocated for answers that did not come", grown>>20)
 	}
 }
+
+// Complete answers are held until they are released. Guards against a bound for each answer only.
+func TestHeldMemory(t *testing.T) {
+	const bodyBytes, calls = 4 << 20, 12
+	s, tr := newScriptedServer(t, slices.Repeat([]string{ok(strings.Repeat("x", bodyBytes))}, calls)...), newTransport(t)
+	var held []*link.Answer
+	for i := range calls {
+		c := s.call(fmt.Sprintf("r%d", i))
+		c.MaxConnections = calls
+		r := tr.Do(t.Context(), c)
+		if r.Answer == nil {
+			assertVerdict(t, r, gather.VerdictLost)
+			continue
+		}
+		held = append(held, r.Answer)
+	}
+	if n := len(held) * bodyBytes; n < 16<<20 || n > 32<<20 {
+		t.Errorf("%d bytes are held, want 16 to 32 MB", n)
+	}
+	for _, a := range held {
+		a.Release()
+		a.Release()
+	}
+	if n := tr.HeldBytes(); n != 0 {
+		t.Errorf("%d bytes count as held after the release, want none", n)
+	}
+	r := tr.Do(t.Context(), s.call("last"))
+	assertVerdict(t, r, gather.VerdictAnswered)
+	r.Answer.Release()
+}
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -59,11 +59,20 @@
 	Allowed func() bool
 }
 
-// Answer is the complete answer of a server.
+// Answer is the complete answer of a server. Its memory counts against that of all answers until Release is called.
 type Answer struct {
 	Status int
 	Header http.Header
 	Body   []byte
+
+	memory holding
+}
+
+// Release says that the answer is no longer used. It may be called more than once, and on nil.
+func (a *Answer) Release() {
+	if a != nil {
+		a.memory.release()
+	}
 }
 
 // Result is the outcome of a call. Answer is nil if no complete answer arrived.
@@ -106,7 +115,7 @@
 	return t, t.closeAll
 }
 
-// Do makes a call and returns when it has ended or ctx is done. If ctx ends the call, the connection is closed, so that the
+// Do makes a call and returns when it has ended or ctx is done. The answer, if any, must be released. If ctx ends the call, the connection is closed, so that the
 // server can stop work.
 func (t *Transport) Do(ctx context.Context, c Call) Result {
 	p := t.pool(c.Target)
@@ -143,6 +152,9 @@
 	return Result{Verdict: t.classify(answer), Answer: answer, Dialed: dialed}
 }
 
+// HeldBytes returns the bytes of all answers that have not been released.
+func (t *Transport) HeldBytes() int64 { return t.memory.held.Load() }
+
 // Forget closes the idle connections to a server that has been removed; those in use are closed when their calls end.
 func (t *Transport) Forget(target header.Target) {
 	t.mu.Lock()
