roster, edge: a misdirected answer drops only the start that was asked

Change: Evict takes the start that the request was sent to. Measured: the new subtest of TestCandidates fails without the comparison.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -405,7 +405,7 @@
 		d.balancer.Refused(now, h, load)
 	case gather.VerdictMisplaced:
 		d.balancer.Discarded(h)
-		d.roster.Evict(server)
+		d.roster.Evict(server, s.start)
 		change.misplaced = true
 	case gather.VerdictUnsent:
 		if res.Unresponsive {
--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -134,9 +134,10 @@
 	r.replace(old, &m)
 }
 
-// Evict drops a server at whose address another server answers. It is used again once its next entry arrives.
-func (r *Roster) Evict(s ident.Server) {
-	if old := r.members[s]; old != nil {
+// Evict drops a server at whose address another server answers, unless it has another address or has started again since the request was sent to
+// the given start. It is used again once its next entry arrives.
+func (r *Roster) Evict(s ident.Server, start Start) {
+	if old := r.members[s]; old != nil && old.entry.Start() == start {
 		r.drop(old)
 	}
 }
--- a/internal/tier/roster/roster_test.go
+++ b/internal/tier/roster/roster_test.go
@@ -80,11 +80,20 @@
 	t.Run("leave out a server that another has answered for until its next entry", func(t *testing.T) {
 		r := roster.New(drain)
 		r.Update(start, entry("a"))
-		r.Evict("a")
+		r.Evict("a", entry("a").Start())
 		assertCandidates(t, r, start, nil, nil)
 		r.Update(start, entry("a"))
 		assertCandidates(t, r, start, []ident.Server{"a"}, nil)
 	})
+	t.Run("keep a server that has another address since another answered at the former one", func(t *testing.T) {
+		r := roster.New(drain)
+		r.Update(start, entry("a"))
+		moved := entry("a")
+		moved.Address = "127.0.0.1:9"
+		r.Update(start, moved)
+		r.Evict("a", entry("a").Start())
+		assertCandidates(t, r, start, []ident.Server{"a"}, nil)
+	})
 }
 
 // Guards against losing servers whose entries expire while the store is unavailable: the entries come back within two seconds
--- a/internal/tier/roster/statement_test.go
+++ b/internal/tier/roster/statement_test.go
@@ -52,7 +52,7 @@
 				r.PruneStatements(start.Add(drain))
 				r.Update(start.Add(drain), entry("a"))
 			},
-			"misplaced and back": func(r *roster.Roster) { r.Evict("a"); r.Update(start, entry("a")) },
+			"misplaced and back": func(r *roster.Roster) { r.Evict("a", entry("a").Start()); r.Update(start, entry("a")) },
 			"pruned":             func(r *roster.Roster) { r.PruneStatements(start.Add(24 * time.Hour)) },
 		} {
 			t.Run(name, func(t *testing.T) {
