--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -40,7 +40,7 @@
 	// A VM's reserve holds capacityFraction of its part of what the bounds allow at once, gets rateFraction of its part of the rate, and
 	// begins with startFraction of what is allowed at once: as long as no process starts more than twice in the time for which the bounds
 	// hold, the sum stays within them, also if parts of VMs that start while they are cut off add a little.
-	capacityFraction = 0.62
+	capacityFraction = 0.58
 	rateFraction     = 0.96
 	startFraction    = 0.18
 	// askFraction of what its reserve can hold is what a VM without a token wants, but at least one. It asks several VMs, each of them for
@@ -185,13 +185,18 @@
 	}
 	l.part, l.guest = part, guest
 	for _, t := range l.teams {
-		t.reserve = min(t.reserve+startFraction*begun*l.amount(t), max(1, l.capacity(t)))
+		t.reserve = min(t.reserve+startFraction*begun*l.amount(t), l.capacity(t))
 	}
 }
 
 // capacity returns how many tokens of a team the VM's reserve can hold, and rate how many it gets in a second. The parts of all VMs together
-// hold no more than the bounds allow at once, and get no more than they allow in a second.
-func (l *Limiter) capacity(t *team) float64 { return capacityFraction * l.part * l.amount(t) }
+// hold no more than the bounds allow at once, and get no more than they allow in a second. Any part is worth a token at times.
+func (l *Limiter) capacity(t *team) float64 {
+	if l.part <= 0 {
+		return 0
+	}
+	return max(1, capacityFraction*l.part*l.amount(t))
+}
 
 func (l *Limiter) rate(t *team) float64 {
 	return rateFraction * l.part * (1 + l.bounds.Overshoot) * t.limit.Rate
@@ -300,7 +305,7 @@
 	for name, n := range given {
 		if t := l.teams[name]; t != nil && n > 0 {
 			l.accrue(now, t)
-			t.reserve = max(t.reserve, min(max(1, l.capacity(t)), t.reserve+n))
+			t.reserve = max(t.reserve, min(l.capacity(t), t.reserve+n))
 			t.askInterval, t.nextAsk = 0, now
 		}
 	}
