edge: a VM without a part of a cold server's rate sends it nothing

Cause: the rate scaled by 0 counted as no published rate, so a VM that had just joined a fleet sent to cold servers without a bound until it was invited, for some 0.4 s.

Change: a published rate and what the VM may use of it are told apart. Measured: the new line of TestColdAnswer fails before (10 requests).

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -259,7 +259,7 @@
 		cold := m.Cold(now)
 		out[i] = place.Candidate{
 			Server: e.Server, Slots: e.Slots, CrossDomain: e.Domain != c.domain, Cold: cold,
-			ColdLimited: cold && !c.warmupLimiter.MaySend(now, e.Server, c.coldRate(e.Service), c.self, c.vms),
+			ColdLimited: cold && !c.maySendCold(now, e),
 			Limited:     c.pacer.Delay(now, e.Server, e.Server == promised) > 0,
 			Resting:     c.roster.Resting(now, e.Server),
 			Scarce:      c.pacer.Scarce(now, e.Server),
@@ -289,13 +289,18 @@
 	return place.MaxWait(d.table == nil || rank <= d.table.HighestPriority(), due)
 }
 
-// coldRate returns the rate, in requests per second, that the VMs which share the fleet-wide limits may send to a cold server of a service, 0
-// if none is published.
+// coldRate returns the published rate, in requests per second, of a cold server of a service, 0 if there is none.
 func (d *dispatch) coldRate(s ident.Service) float64 {
 	if d.table == nil {
 		return 0
 	}
-	return d.scale * d.table.Service(s).ColdRate
+	return d.table.Service(s).ColdRate
+}
+
+// maySendCold reports whether this VM may send a request to a cold server now.
+func (d *dispatch) maySendCold(now time.Time, e roster.Entry) bool {
+	rate := d.coldRate(e.Service)
+	return rate <= 0 || d.scale > 0 && d.warmupLimiter.MaySend(now, e.Server, d.scale*rate, d.self, d.vms)
 }
 
 // sending is an attempt that is being sent to a server.
@@ -317,7 +322,7 @@
 		return sending{}, false
 	}
 	if m.Cold(now) {
-		d.warmupLimiter.RecordSend(now, s.Server, d.coldRate(s.Service), d.self, d.vms)
+		d.warmupLimiter.RecordSend(now, s.Server, d.scale*d.coldRate(s.Service), d.self, d.vms)
 	}
 	use := usage(s)
 	if d.pacer.RecordSend(now, s.Server, use) {
--- a/internal/tier/edge/dispatch_test.go
+++ b/internal/tier/edge/dispatch_test.go
@@ -71,6 +71,11 @@
 	if n := countSent(d, start.Add(typical), 10); n != 1 {
 		t.Errorf("%d requests sent at once to a server that reported that it is cold, want 1", n)
 	}
+	// A VM that has just started has no part of the rate yet.
+	d.setPart(0, 0, []ident.VM{"vm0"})
+	if n := countSent(d, start.Add(time.Second), 10); n != 0 {
+		t.Errorf("%d requests sent by a VM without a part of the rate, want none", n)
+	}
 }
 
 // All servers of a service refuse connections: the next request must fail at once, with the reason counted for the log.
