--- a/internal/limit/escrow/escrow.go
+++ b/internal/limit/escrow/escrow.go
@@ -29,8 +29,9 @@
 	completeSum = 0.98
 	// invitedTime is how long a VM keeps its claim that less than half of the others count among those that divide the limits.
 	invitedTime = 4 * time.Second
-	// unit is the precision of claims.
-	unit = 1e-4
+	// unit is the precision of claims. roundingError keeps a claim that is a whole number of units from losing one.
+	unit          = 1e-4
+	roundingError = 1e-6
 )
 
 // Claim is the part of the fleet-wide limits that a VM uses, from 0 to 1. Settled says that the VM knows the claims of all others.
@@ -183,7 +184,7 @@
 	}
 	free := max(0, 1-t.used)
 	next := min(target, max(l.claim.Part, free))
-	l.claim.Part = math.Floor(next/unit) * unit
+	l.claim.Part = math.Floor(next/unit+roundingError) * unit
 	l.scale = 0
 	if due > 0 {
 		l.scale = min(1, l.claim.Part/due)
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -268,17 +268,19 @@
 	m.Relayed = e.fleet.peers.RelayedDigests(now, c, to.VM)
 	e.fleet.mu.Unlock()
 	m.ToCore = c.IncludesSelf() && c.Has(to.VM)
+	limitAge := time.Duration(0)
 	if !c.Has(to.VM) {
+		limitAge = relayedLimitAge
 		e.quotaMu.Lock()
 		m.Levels = e.quota.LowLevels(now)
 		e.quotaMu.Unlock()
-		e.dispatch.mu.Lock()
-		m.ServerLimits = e.dispatch.pacer.AllReports(now, relayedLimitAge)
-		e.dispatch.mu.Unlock()
 	}
 	if to.Phase == peers.PhaseStarting {
+		limitAge = startLimitAge
+	}
+	if limitAge > 0 {
 		e.dispatch.mu.Lock()
-		m.ServerLimits = e.dispatch.pacer.AllReports(now, startLimitAge)
+		m.ServerLimits = e.dispatch.pacer.AllReports(now, limitAge)
 		e.dispatch.mu.Unlock()
 	}
 	return m
