edge, quota: VMs that start get the common reply unless servers name limits

Cause: each VM that starts got a reply encoded for itself, which the common reply to VMs outside the core group was made to avoid when a large fleet starts. A wait was converted without base/units.

Change: those two. Measured: tests of edge and quota pass; no figure of the processor was taken.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/base/units"
 )
 
 const (
@@ -255,7 +256,7 @@
 	if l.part <= 0 {
 		return maxAskInterval
 	}
-	return min(maxAskInterval, time.Duration((1-t.reserve)/l.rate(t)*float64(time.Second)))
+	return min(maxAskInterval, units.Seconds((1-t.reserve)/l.rate(t)))
 }
 
 // Ask reports whether a request that was not admitted may wait for tokens of other VMs: the reserve has not enough for it, and the fleet has tokens
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -236,9 +236,10 @@
 	}
 }
 
-// sendReply replies to a heartbeat. All VMs outside the core group get the same reply for a while.
+// sendReply replies to a heartbeat. All VMs outside the core group get the same reply for a while, but for those that start while servers name
+// limits.
 func (e *Edge) sendReply(now time.Time, to peers.Digest) {
-	if e.core().Has(to.VM) || to.Phase == peers.PhaseStarting {
+	if e.core().Has(to.VM) || to.Phase == peers.PhaseStarting && e.dispatch.knowsLimits() {
 		e.send(e.reply(now, to), to.Address)
 		return
 	}
--- a/internal/tier/edge/statement.go
+++ b/internal/tier/edge/statement.go
@@ -58,6 +58,13 @@
 	return d.roster.MayReceive(now, s.target.Server, s.start)
 }
 
+// knowsLimits reports whether a server names a limit or did until lately.
+func (d *dispatch) knowsLimits() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pacer.Len() > 0
+}
+
 // observeLimit applies the limit that an answer names, empty for none, and returns the change, or the text if it cannot be read.
 func (d *dispatch) observeLimit(now, sent time.Time, s sending, text string) (change pacer.Change, malformed string) {
 	server := s.target.Server
