quota: reserves begin with more as parts settle, for five seconds

Change: reserves begin with more for 5 s after the start of the process. Measured: quota's tests pass, TestTurmoil among them.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -44,6 +44,9 @@
 	capacityFraction = 0.58
 	rateFraction     = 0.96
 	startFraction    = 0.18
+	// startTime is how long after the start of a process its reserves begin with more as its part grows: in a large fleet parts take some
+	// seconds to settle.
+	startTime = 5 * time.Second
 	// askFraction of what its reserve can hold is what a VM without a token wants, but at least one. It asks several VMs, each of them for
 	// askShare of what it lacks for that, as not all have as much.
 	askFraction = 0.5
@@ -181,7 +184,7 @@
 		l.accrue(now, t)
 	}
 	begun := 0.0
-	if part > l.startedPart && l.starting(now) {
+	if part > l.startedPart && now.Sub(l.started) < startTime {
 		begun, l.startedPart = part-l.startedPart, part
 	}
 	l.part, l.guest = part, guest
