escrow, edge: a VM is ready with a part of the limits, and the first start of a fleet takes all of it

Callers would see: a part that a failing server got is not sent again by a VM that has just become ready, as its part of the retry budget is too small for one (0.0196).

Cause: at the first start of a fleet parts were scaled for a fleet of nine, though nobody can have used any limit; and a VM became ready before it had one.

Change: no scale at the first start; readiness waits for a part, 0.8 s at most.

--- a/internal/limit/escrow/escrow.go
+++ b/internal/limit/escrow/escrow.go
@@ -301,6 +301,9 @@
 	if l.majorityAt.IsZero() || len(l.others) == 0 {
 		return strayPart
 	}
+	if l.first {
+		return target
+	}
 	return target * min(1, float64(1+len(l.others))/minFleet)
 }
 
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -242,11 +242,12 @@
 	}
 }
 
-// waitUntilReady marks the VM as ready once it has a configuration and has had time to receive heartbeats.
+// waitUntilReady marks the VM as ready once it has a configuration, a part of the fleet-wide limits if it is to have one, and has had time to receive
+// heartbeats.
 func (e *Edge) waitUntilReady(ctx context.Context) {
 	for ctx.Err() == nil {
 		age := time.Since(e.started)
-		if e.dispatch.current() != nil && (age >= minReadyDelay && e.revision() > 0 || age >= maxReadyDelay) {
+		if e.dispatch.current() != nil && (age >= minReadyDelay && e.revision() > 0 && e.hasPart() || age >= maxReadyDelay) {
 			e.startQuota(time.Now())
 			e.ready.Store(true)
 			e.sendHeartbeats(false)
--- a/internal/tier/edge/parts.go
+++ b/internal/tier/edge/parts.go
@@ -48,6 +48,14 @@
 	d.vms, d.part, d.scale = vms, part, scale
 }
 
+// hasPart reports whether this VM has a part of the fleet-wide limits, or is to have none because it is outside the core group.
+func (e *Edge) hasPart() bool {
+	outside := !e.core().IncludesSelf()
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return outside || e.fleet.ledger.Claim().Part > 0
+}
+
 // escrowView describes to package escrow what this VM sees of the fleet.
 func (e *Edge) escrowView(now time.Time, c peers.Core, ready []assign.VM, directory []string) escrow.View {
 	listed := make(sets.Set[string])
