place, table: requests leave room in the queues of servers for more urgent ones

Change: a request waits in a server's queue for half of the shortest target latency of more urgent routes to the same servers at most, and a wait counts the work of all kinds.

--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -58,8 +58,10 @@
 	RateSlack      *float64 `json:"rateSlack"`
 	MaxKeepSeconds float64  `json:"keepSecondsMost"`
 	// FirstStart says that the whole fleet starts for the first time, so that no other VM can have used any of the teams' rates.
-	FirstStart bool   `json:"firstStart"`
-	LogLevel   string `json:"logLevel"`
+	FirstStart bool `json:"firstStart"`
+	// UrgentFirst makes requests leave room in the queues of servers for more urgent ones that go to the same servers.
+	UrgentFirst bool   `json:"urgentFirst"`
+	LogLevel    string `json:"logLevel"`
 }
 
 // Settings holds checked settings with defaults applied.
@@ -239,6 +241,9 @@
 // FirstStart reports whether the whole fleet starts for the first time.
 func (s Settings) FirstStart() bool { return s.text.FirstStart }
 
+// UrgentFirst reports whether requests leave room in the queues of servers for more urgent ones.
+func (s Settings) UrgentFirst() bool { return s.text.UrgentFirst }
+
 // ServerHeartbeat returns the interval at which servers renew their entries in the store.
 func (s Settings) ServerHeartbeat() time.Duration {
 	return time.Duration(s.text.ServerHeartbeatMillis) * time.Millisecond
--- a/internal/lab/surge/surge.go
+++ b/internal/lab/surge/surge.go
@@ -44,6 +44,8 @@
 	// Target is the time in which an answer has its full value, Budget that after which the client gives up.
 	Target, Budget time.Duration
 	MinCoverage    float64
+	// Priority is the rank of the kind; 0 is the highest.
+	Priority int
 }
 
 // Params describe a simulated system.
@@ -58,6 +60,26 @@
 	// Load is the factor by which the rates of all kinds are multiplied.
 	Load float64
 	Seed uint64
+	// UrgentFirst makes requests leave room in the queues of servers for kinds of higher priority.
+	UrgentFirst bool
+}
+
+// maxWait returns the longest time that a request of a kind may wait in a server's queue if its answer is due after the given time.
+func (p Params) maxWait(kind Kind, due time.Duration) time.Duration {
+	if !p.UrgentFirst {
+		return place.MaxWait(false, due, 0)
+	}
+	highest, urgentTarget := true, time.Duration(0)
+	for _, k := range p.Kinds {
+		if k.Priority >= kind.Priority {
+			continue
+		}
+		highest = false
+		if urgentTarget == 0 || k.Target < urgentTarget {
+			urgentTarget = k.Target
+		}
+	}
+	return place.MaxWait(highest, due, urgentTarget)
 }
 
 // Outcome counts what became of the requests of one kind.
@@ -140,6 +162,9 @@
 		for k, kind := range p.Kinds {
 			v.latency[k].Init(kind.Work)
 		}
+		if p.UrgentFirst {
+			v.balancer.CountAllKinds()
+		}
 		v.pacer.SetFleet(sim.instant(), fleet[i].Name, fleet, nil, 1)
 		for shard, servers := range sim.replicas {
 			for _, srv := range servers {
@@ -272,7 +297,7 @@
 	sim := r.vm.sim
 	before := r.skipped.AtCapacity()
 	attempt := place.Attempt{
-		Typical: r.typical, FailureCost: r.due, MaxWait: place.MaxWait(false, r.due), Hedge: cause == gather.CauseLate,
+		Typical: r.typical, FailureCost: r.due, MaxWait: sim.params.maxWait(sim.params.Kinds[r.client.kind], r.due), Hedge: cause == gather.CauseLate,
 		RetryRemaining: r.vm.retries.Remaining(now, s, r.vm.share()),
 	}
 	usable, fallback := r.vm.roster.Candidates(now, s)
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -43,6 +43,8 @@
 type dispatch struct {
 	domain ident.Domain
 	self   ident.VM
+	// urgentFirst says that requests leave room in the queues of servers for more urgent ones.
+	urgentFirst bool
 	// awaiting counts the requests that wait for the first configuration.
 	awaiting atomic.Int64
 
@@ -74,11 +76,15 @@
 	if s.FirstStart() {
 		started = time.Time{}
 	}
-	return &dispatch{
-		domain: s.Domain(), self: s.Name(), rng: rng, roster: roster.New(s.DrainPeriod()), latencies: make(map[ident.Route]*timing.Estimator),
+	d := &dispatch{
+		domain: s.Domain(), self: s.Name(), urgentFirst: s.UrgentFirst(), rng: rng, roster: roster.New(s.DrainPeriod()), latencies: make(map[ident.Route]*timing.Estimator),
 		configured: make(chan struct{}), warmupLimiter: warmup.New(started),
 		retries: retry.New(retry.Limits{Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Window: s.RetryWindow()}, started),
 	}
+	if s.UrgentFirst() {
+		d.balancer.CountAllKinds()
+	}
+	return d
 }
 
 // current returns the current configuration, or nil if there is none yet.
@@ -282,11 +288,16 @@
 	return max(1, int(serverConnFraction*float64(limit)/float64(max(1, d.serving))))
 }
 
-// maxWait returns the longest time that a request of a priority may wait in a server's queue if its answer is due after the given time.
-func (d *dispatch) maxWait(rank int, due time.Duration) time.Duration {
+// maxWait returns the longest time that a request of a route and a priority may wait in a server's queue if its answer is due after the given
+// time.
+func (d *dispatch) maxWait(r *table.Route, rank int, due time.Duration) time.Duration {
+	urgentTarget := time.Duration(0)
+	if d.urgentFirst {
+		urgentTarget = r.UrgentTarget(rank)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return place.MaxWait(d.table == nil || rank <= d.table.HighestPriority(), due)
+	return place.MaxWait(d.table == nil || rank <= d.table.HighestPriority(), due, urgentTarget)
 }
 
 // coldRate returns the published rate, in requests per second, of a cold server of a service, 0 if there is none.
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -100,7 +100,7 @@
 		spec.Shards = []ident.Service{rq.route.Choose(e.dispatch.random())}
 		spec.MinCoverage = 1
 	}
-	maxWait := e.dispatch.maxWait(rq.rank, rq.soft.Sub(rq.arrived))
+	maxWait := e.dispatch.maxWait(rq.route, rq.rank, rq.soft.Sub(rq.arrived))
 	j := &job{
 		edge: e, rq: rq, state: gather.New(spec), typical: typical, late: late,
 		chooser: &chooser{
--- a/internal/tier/place/choose.go
+++ b/internal/tier/place/choose.go
@@ -14,7 +14,10 @@
 	// delays the first attempts of others.
 	maxWaitFraction            = 0.7
 	lowPriorityMaxWaitFraction = 0.55
-	hedgeMaxWaitFraction       = 0.4
+	// It may spend at most urgentTargetFraction of the target latency of more urgent requests to the same servers there: servers serve in order
+	// of arrival, so these wait behind it, and the rest of their time is for the work itself.
+	urgentTargetFraction = 0.5
+	hedgeMaxWaitFraction = 0.4
 	// A server whose requests fail more often than maxFailureRate is passed over more and more often while less than lowRetryRemaining of
 	// the retry budget is left, and always once it is used up.
 	maxFailureRate    = 0.2
@@ -48,15 +51,21 @@
 func (s Skipped) AtCapacity() int { return s.Cold + s.Full + s.Slow + s.Failing }
 
 // MaxWait returns the longest time that a request may wait in a server's queue if its answer is due after the given time. It is longer
-// for requests of the highest priority.
+// for requests of the highest priority. urgentTarget is the shortest target latency of the more urgent requests to the same servers, 0 if
+// there are none.
 //
-// Load pattern: more requests arrive than the servers can answer in time. What would wait too long is refused at once, and a queue that
-// fills up rejects the less urgent requests first.
-func MaxWait(highestPriority bool, due time.Duration) time.Duration {
+// Load patterns: more requests arrive than the servers can answer in time. What would wait too long is refused at once, and a queue that
+// fills up rejects the less urgent requests first. A crowd of patient requests would otherwise fill the queues with as much work as it can
+// wait for itself, which is more than the urgent ones can.
+func MaxWait(highestPriority bool, due, urgentTarget time.Duration) time.Duration {
 	if highestPriority {
 		return time.Duration(maxWaitFraction * float64(due))
 	}
-	return time.Duration(lowPriorityMaxWaitFraction * float64(due))
+	wait := time.Duration(lowPriorityMaxWaitFraction * float64(due))
+	if urgentTarget > 0 {
+		wait = min(wait, time.Duration(urgentTargetFraction*float64(urgentTarget)))
+	}
+	return wait
 }
 
 // Choose returns the candidate with the lowest cost among those with capacity for an attempt, or false if there is none, and counts the
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -47,6 +47,8 @@
 	scarceFraction = 1.0
 	// jitterFraction is the maximum random fraction added to a cost. It spreads the requests of VMs that hold the same state.
 	jitterFraction = 0.1
+	// kindsWeight is the weight of a request in the moving average of the typical latencies of all kinds.
+	kindsWeight = 1.0 / 256
 )
 
 // Candidate is a server that a request may be sent to.
@@ -78,8 +80,17 @@
 type Balancer struct {
 	servers map[ident.Server]*serverStats
 	next    uint64
+	// countsAllKinds says that the requests in a server's queue are taken to be as long as those of all kinds are on average, which is
+	// meanTypical.
+	countsAllKinds bool
+	meanTypical    time.Duration
 }
 
+// CountAllKinds makes the balancer expect requests of all kinds in a server's queue, instead of only some of the kind that is to be sent.
+//
+// Load pattern: patient requests with much work fill the queues, and urgent ones with little work take these for short.
+func (b *Balancer) CountAllKinds() { b.countsAllKinds = true }
+
 type serverStats struct {
 	inFlight []request
 	// latencyRatio is the moving average of the server's latency divided by the typical latency of the same kind of request. It was
@@ -151,8 +162,8 @@
 	if now.Before(st.backoffUntil) {
 		return 0, false
 	}
-	queueing := max(0, st.queueLength(now)+1-float64(cand.Slots)) / float64(cand.Slots)
-	cost := b.applyPenalties(time.Duration(float64(typical)*st.currentLatencyRatio(now)*(1+queueing)), cand)
+	latency := time.Duration(float64(typical) * st.currentLatencyRatio(now))
+	cost := b.applyPenalties(latency+b.QueueDelay(now, cand, typical), cand)
 	if st.overdue(now) {
 		cost += overduePenalty
 	}
@@ -166,6 +177,9 @@
 	if st == nil {
 		return 0
 	}
+	if b.countsAllKinds {
+		typical = max(typical, b.meanTypical)
+	}
 	queueing := max(0, st.queueLength(now)+1-float64(cand.Slots)) / float64(cand.Slots)
 	return time.Duration(float64(typical) * st.currentLatencyRatio(now) * queueing)
 }
@@ -217,6 +231,7 @@
 // in Answered, Refused, Failed, Unreachable, TimedOut or Discarded.
 func (b *Balancer) Sent(now time.Time, s ident.Server, typical time.Duration) Handle {
 	st := b.stats(now, s)
+	b.meanTypical += time.Duration(kindsWeight * float64(typical-b.meanTypical))
 	b.next++
 	st.inFlight = append(st.inFlight, request{id: b.next, sent: now, typical: typical})
 	return Handle{server: s, id: b.next}
--- a/internal/tier/table/table_test.go
+++ b/internal/tier/table/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
@@ -90,3 +91,28 @@
 		t.Errorf("highest priority is %d, want 0", got)
 	}
 }
+
+func TestUrgentTarget(t *testing.T) {
+	tab := table.New(table.Config{Routes: []table.RouteConfig{
+		{Name: "sweep", Host: "h", Prefix: "/sweep/", Priority: 2, TargetLatency: 300, Shards: []ident.Service{"a", "b"}},
+		{Name: "alarm", Host: "h", Prefix: "/alarm/", Priority: 0, TargetLatency: 80, Shards: []ident.Service{"b", "c"}},
+		{Name: "check", Host: "h", Prefix: "/check/", Priority: 1, TargetLatency: 50, Service: "a"},
+		{Name: "apart", Host: "h", Prefix: "/apart/", Priority: 0, TargetLatency: 5, Split: []table.WeightedService{{Service: "d", Weight: 1}}},
+		{Name: "idle", Host: "h", Prefix: "/idle/", Priority: 0, Service: "a"},
+	}})
+	for _, c := range []struct {
+		name     string
+		priority int
+		want     time.Duration
+	}{
+		{"of the more urgent routes at the same servers, the shortest", 2, 50},
+		{"leaves out routes that are as urgent", 1, 80},
+		{"is none for the most urgent", 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := tab.Match("h", "/sweep/").UrgentTarget(c.priority); got != c.want {
+				t.Errorf("target latency is %d, want %d", got, c.want)
+			}
+		})
+	}
+}
