where, place, edge: a command that tells where a request would go now, and why

Cause: operators ask why a server gets a request or not, and the logs answer only afterwards. Change: kumquatreel where asks a VM, which takes the decisions of a real request by the same code (gather.Start, the chooser, place.Choose) and changes no state. place names the reason for which a server is passed over; docs/OPERATIONS.md. Measured: TestWhere (no request reached a server, no token taken, reasons as the servers behave), TestPrint; tests of tier and platform's beliefs pass.

--- a/cmd/kumquatreel/client.go
+++ b/cmd/kumquatreel/client.go
@@ -15,6 +15,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/tier/belief"
 	"kumquatreel.example/kumquatreel/internal/tier/events"
+	"kumquatreel.example/kumquatreel/internal/tier/where"
 	"kumquatreel.example/kumquatreel/internal/wire/client"
 	"kumquatreel.example/kumquatreel/internal/wire/netio"
 	"kumquatreel.example/kumquatreel/internal/wire/public"
@@ -89,6 +90,32 @@
 	return belief.Print(os.Stdout, page)
 }
 
+type whereCommand struct {
+	Metrics   string        `long:"metrics" required:"yes" description:"the VM's address for metrics"`
+	Host      string        `long:"host" required:"yes" description:"the host of the request"`
+	Path      string        `long:"path" required:"yes" description:"the path of the request"`
+	Team      string        `long:"team" description:"the team that makes the request"`
+	Remaining time.Duration `long:"remaining" description:"the time that the client will wait; the route's timeout if it is not given"`
+	JSON      bool          `long:"json" description:"print JSON instead of a table"`
+}
+
+// Execute prints where a request would go.
+func (c *whereCommand) Execute([]string) error {
+	values := url.Values{"host": {c.Host}, "path": {c.Path}, "team": {c.Team}}
+	if c.Remaining > 0 {
+		values.Set("remainingMs", strconv.FormatFloat(float64(c.Remaining)/float64(time.Millisecond), 'f', -1, 64))
+	}
+	path := "/where?" + values.Encode()
+	if c.JSON {
+		return printPage(c.Metrics, path)
+	}
+	var page where.Page
+	if err := getPage(c.Metrics, path, &page); err != nil {
+		return err
+	}
+	return where.Print(os.Stdout, page)
+}
+
 type readyCommand struct {
 	Operator string `long:"operator" required:"yes" description:"a VM's address for operators"`
 }
--- a/cmd/kumquatreel/main.go
+++ b/cmd/kumquatreel/main.go
@@ -52,6 +52,11 @@
 			Long: "Prints what one edge VM believes of the servers, the teams, the store and the other VMs, with sources and ages, and why a server gets no requests.\n\nExample: kumquatreel beliefs --metrics 127.0.0.1:9464 --service books",
 			Run:  &beliefsCommand{},
 		},
+		{
+			Name: "where", Short: "Show where a request would go",
+			Long: "Prints where a request would go now by the decisions of one edge VM: the server that would get each part, what was passed over and why, and whether it would be refused. Nothing is sent and no token is taken.\n\nExample: kumquatreel where --metrics 127.0.0.1:9464 --host search.example --path /all/x --team tailors --remaining 250ms",
+			Run:  &whereCommand{},
+		},
 		{
 			Name: "ready", Short: "Check whether a VM is ready",
 			Long: "Succeeds if a VM serves clients and holds its share of the fleet's work.\n\nExample: kumquatreel ready --operator 127.0.0.1:7404",
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -179,6 +179,8 @@
 	promises map[ident.Service]ident.Server
 	// skipped counts the servers that were skipped for the request, by reason.
 	skipped place.Skipped
+	// observe, if not nil, is told what became of each server that was considered. The chooser then changes no state.
+	observe func(place.Considered)
 	// onRetryDenied is called for each retry or hedge that the retry budget does not allow.
 	onRetryDenied func(service ident.Service, firsts, retries int, fraction float64)
 }
@@ -189,7 +191,7 @@
 	defer c.mu.Unlock()
 	a := place.Attempt{
 		Typical: c.typical, FailureCost: c.failureCost, MaxWait: c.maxWait, Hedge: cause == gather.CauseLate,
-		RetryRemaining: c.retries.Remaining(now, service, c.part),
+		RetryRemaining: c.retries.Remaining(now, service, c.part), Observe: c.observe,
 	}
 	skippedBefore := c.skipped.AtCapacity()
 	usable, fallback := c.roster.Candidates(now, service)
@@ -233,8 +235,8 @@
 			best, wait = server, time.Duration(tokenWaitFactor*float64(d))
 		}
 	}
-	if best == "" {
-		return false
+	if best == "" || c.observe != nil {
+		return best != ""
 	}
 	if c.promises == nil {
 		c.promises = make(map[ident.Service]ident.Server)
@@ -271,7 +273,7 @@
 			Scarce:      c.pacer.Scarce(now, e.Server),
 			MaxInFlight: c.maxConnections(e.Service) + maxWaiters, Excluded: slices.Contains(exclude, e.Server),
 		}
-		if out[i].Resting && !out[i].Excluded {
+		if out[i].Resting && !out[i].Excluded && c.observe == nil {
 			c.roster.CountWithheld(e.Server)
 		}
 	}
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -185,6 +185,7 @@
 	control.HandleFunc("GET "+updatesPath, e.serveUpdates)
 	metrics.Handle("GET /metrics", e.metrics.handler())
 	metrics.HandleFunc("GET "+beliefsPath, e.serveBeliefs)
+	metrics.HandleFunc("GET "+wherePath, e.serveWhere)
 	for _, l := range []struct {
 		address string
 		handler http.Handler
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -88,29 +88,38 @@
 	res  link.Result
 }
 
-// run sends the parts of a request to servers until there is an outcome or the client has disconnected.
-func (e *Edge) run(ctx context.Context, rq *request) outcome {
+// spec describes a request to package gather.
+func (e *Edge) spec(rq *request) gather.Spec {
 	typical, late := e.dispatch.partLatency(rq.route)
-	shards := rq.route.Shards()
 	spec := gather.Spec{
-		Shards: shards, MaxAttempts: rq.route.MaxAttempts(), Idempotent: rq.route.Kind() == table.KindIdempotent,
+		Shards: rq.route.Shards(), MaxAttempts: rq.route.MaxAttempts(), Idempotent: rq.route.Kind() == table.KindIdempotent,
 		MinCoverage: rq.route.MinCoverage(), SoftDeadline: rq.soft, HardDeadline: rq.hard, TypicalLatency: typical, LateAfter: late,
 	}
-	if len(shards) == 0 {
+	if len(spec.Shards) == 0 {
 		spec.Shards = []ident.Service{rq.route.Choose(e.dispatch.random())}
 		spec.MinCoverage = 1
 	}
-	maxWait := e.dispatch.maxWait(rq.route, rq.rank, rq.soft.Sub(rq.arrived))
-	j := &job{
-		edge: e, rq: rq, state: gather.New(spec), typical: typical, late: late,
-		chooser: &chooser{
-			dispatch: e.dispatch, typical: typical, failureCost: rq.soft.Sub(rq.arrived), maxWait: maxWait,
-			onRetryDenied: func(s ident.Service, firsts, retries int, fraction float64) {
-				e.log.Info(componentRequest, "second attempt denied by the retry budget", "id", rq.id, "service", s,
-					"first", firsts, "repeats", retries, "part", fraction)
-			},
+	return spec
+}
+
+// newChooser returns what selects the servers for a request.
+func (e *Edge) newChooser(rq *request, spec gather.Spec) *chooser {
+	due := rq.soft.Sub(rq.arrived)
+	return &chooser{
+		dispatch: e.dispatch, typical: spec.TypicalLatency, failureCost: due, maxWait: e.dispatch.maxWait(rq.route, rq.rank, due),
+		onRetryDenied: func(s ident.Service, firsts, retries int, fraction float64) {
+			e.log.Info(componentRequest, "second attempt denied by the retry budget", "id", rq.id, "service", s,
+				"first", firsts, "repeats", retries, "part", fraction)
 		},
 	}
+}
+
+// run sends the parts of a request to servers until there is an outcome or the client has disconnected.
+func (e *Edge) run(ctx context.Context, rq *request) outcome {
+	spec := e.spec(rq)
+	j := &job{
+		edge: e, rq: rq, state: gather.New(spec), typical: spec.TypicalLatency, late: spec.LateAfter, chooser: e.newChooser(rq, spec),
+	}
 	return j.run(ctx, len(spec.Shards))
 }
 
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -162,6 +162,12 @@
 		elapsed = e.dispatch.elapsed(rq.route, left)
 		budget = max(0, left-rq.rtt)
 	}
+	rq.bound(budget, elapsed)
+}
+
+// bound sets when the answer is due and when the request ends, given what is left of the client's time for the answer to be written and what it
+// had used of it before the request arrived.
+func (rq *request) bound(budget, elapsed time.Duration) {
 	if t := rq.route.Timeout(); t > 0 {
 		budget = min(budget, t)
 	}
--- a/internal/tier/gather/spec.go
+++ b/internal/tier/gather/spec.go
@@ -6,7 +6,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 )
 
-//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Verdict,Reason,Cause,Capacity -trimprefix=Verdict,Reason,Cause,Capacity -transform=title-lower -output=enums.go
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Verdict,Reason,Cause,Capacity -trimprefix=Verdict,Reason,Cause,Capacity -transform=title-lower -text -output=enums.go
 
 // Verdict is the outcome of one attempt.
 type Verdict int
--- a/internal/tier/place/choose.go
+++ b/internal/tier/place/choose.go
@@ -8,6 +8,8 @@
 	"kumquatreel.example/kumquatreel/internal/base/sets"
 )
 
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Reason -trimprefix=Reason -transform=title-lower -text -output=enums.go
+
 const (
 	// A request may spend maxWaitFraction of the time until its answer is due in a server's queue, or lowPriorityMaxWaitFraction if it
 	// is below the highest priority. A hedge may wait hedgeMaxWaitFraction as long as a first attempt, since in a long queue it only
@@ -36,6 +38,41 @@
 	RetryRemaining float64
 	// Hedge is set for an attempt beside one that is late.
 	Hedge bool
+	// Observe, if not nil, is told what became of each candidate.
+	Observe func(Considered)
+}
+
+// Reason is why a server is passed over.
+type Reason int
+
+// The reasons.
+const (
+	// ReasonNone means that the server is eligible.
+	ReasonNone Reason = iota
+	// ReasonExcluded means that the server has had the request already.
+	ReasonExcluded
+	// ReasonResting means that the server wants no requests for a time.
+	ReasonResting
+	// ReasonCold means that the server has reached its warm-up rate.
+	ReasonCold
+	// ReasonLimited means that the limit which the server names allows no further request.
+	ReasonLimited
+	// ReasonFull means that no connection to the server is free.
+	ReasonFull
+	// ReasonSlow means that the wait in the server's queue is too long.
+	ReasonSlow
+	// ReasonFailing means that the server fails too often for the retry budget that is left.
+	ReasonFailing
+	// ReasonDown means that the server is in backoff because it did not answer or could not be reached.
+	ReasonDown
+)
+
+// Considered is a server that was considered for an attempt.
+type Considered struct {
+	Server ident.Server
+	Reason Reason
+	// QueueDelay is the expected wait in the server's queue, Cost the expected latency with all penalties, 0 for a server in backoff.
+	QueueDelay, Cost time.Duration
 }
 
 // Skipped counts the servers that were not eligible for an attempt, by reason.
@@ -46,6 +83,25 @@
 	Cold, Full, Slow, Failing, Limited, Resting, Down int
 }
 
+// count counts a server that is passed over for a reason that is known before the choice.
+func (s *Skipped) count(r Reason) {
+	switch r {
+	case ReasonResting:
+		s.Resting++
+	case ReasonCold:
+		s.Cold++
+	case ReasonLimited:
+		s.Limited++
+	case ReasonFull:
+		s.Full++
+	case ReasonSlow:
+		s.Slow++
+	case ReasonFailing:
+		s.Failing++
+	case ReasonNone, ReasonExcluded, ReasonDown:
+	}
+}
+
 // AtCapacity returns the number of servers that were skipped for lack of capacity, which may have some soon. Limited and
 // resting servers are not counted: it is known when they have some.
 func (s Skipped) AtCapacity() int { return s.Cold + s.Full + s.Slow + s.Failing }
@@ -81,23 +137,14 @@
 	failing := b.failing(now, candidates, a.RetryRemaining, rng)
 	eligible := make([]Candidate, 0, len(candidates))
 	for _, cand := range candidates {
-		switch {
-		case cand.Excluded:
-		case cand.Resting:
-			skipped.Resting++
-		case cand.ColdLimited:
-			skipped.Cold++
-		case cand.Limited:
-			skipped.Limited++
-		case cand.MaxInFlight > 0 && b.InFlight(cand.Server) >= cand.MaxInFlight:
-			skipped.Full++
-		case b.QueueDelay(now, cand, a.Typical) > maxWait:
-			skipped.Slow++
-		case failing.Has(cand.Server):
-			skipped.Failing++
-		default:
+		reason := b.passOver(now, cand, a.Typical, maxWait, failing)
+		skipped.count(reason)
+		if reason == ReasonNone {
 			eligible = append(eligible, cand)
 		}
+		if a.Observe != nil {
+			a.Observe(b.considered(now, cand, a, reason))
+		}
 	}
 	best, ok := b.Pick(now, eligible, a.Typical, a.FailureCost, rng)
 	if !ok {
@@ -106,6 +153,35 @@
 	return best.Server, ok
 }
 
+// passOver returns why a candidate does not get an attempt, or ReasonNone.
+func (b *Balancer) passOver(now time.Time, cand Candidate, typical, maxWait time.Duration, failing sets.Set[ident.Server]) Reason {
+	switch {
+	case cand.Excluded:
+		return ReasonExcluded
+	case cand.Resting:
+		return ReasonResting
+	case cand.ColdLimited:
+		return ReasonCold
+	case cand.Limited:
+		return ReasonLimited
+	case cand.MaxInFlight > 0 && b.InFlight(cand.Server) >= cand.MaxInFlight:
+		return ReasonFull
+	case b.QueueDelay(now, cand, typical) > maxWait:
+		return ReasonSlow
+	case failing.Has(cand.Server):
+		return ReasonFailing
+	}
+	return ReasonNone
+}
+
+func (b *Balancer) considered(now time.Time, cand Candidate, a Attempt, reason Reason) Considered {
+	cost, ok := b.Cost(now, cand, a.Typical, a.FailureCost)
+	if !ok && reason == ReasonNone {
+		reason = ReasonDown
+	}
+	return Considered{Server: cand.Server, Reason: reason, QueueDelay: b.QueueDelay(now, cand, a.Typical), Cost: cost}
+}
+
 // failing returns the servers to pass over because they fail often and too little of the retry budget is left to send their requests
 // again. It is empty if all servers fail often. A fixed bound instead of a random one would send all requests to the sound servers until some
 // of the budget is back, which overloads them in turns.
