drain: the kernel opens no connection between the last look at its queue and the close

The kernel opened more until the socket was closed, which Go does when the goroutine that accepts has woken, and reset them at the close. The new test opens connections from 16 clients around 40 closes.

Change: Drain first attaches a socket filter to the listener that drops segments that begin a connection; then it accepts until none has waited for 25 ms (at most 250 ms, as before), and closes. A kernel that refuses the filter gets what it got before. Multipath TCP, which Go opens listeners with by default, refuses it ("operation not supported"), so drain.Listen opens plain TCP; the edge and netio use it. TestDrain's other cases stay on such a listener, and so play the refusal.

--- a/internal/base/drain/drain.go
+++ b/internal/base/drain/drain.go
@@ -21,6 +21,8 @@
 	maxAcceptWait = 250 * time.Millisecond
 	// acceptPollInterval is the time between checks for such connections.
 	acceptPollInterval = time.Millisecond
+	// handshakeWait is how long a connection whose opening has begun may take to be open, after which the listener is closed.
+	handshakeWait = 25 * time.Millisecond
 	// firstRequestTimeout is how long after its acceptance a connection may still send its first request; clients give up sooner.
 	firstRequestTimeout = time.Second
 )
@@ -45,6 +47,17 @@
 	since time.Time
 }
 
+// Listen opens a TCP listener that can be sealed, which one of Multipath TCP can't.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	lc.SetMultipathTCP(false)
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Errorf("listen at %s: %w", address, err)
+	}
+	return l, nil
+}
+
 // Serve starts to serve on a listener, wrapped by wrap if that is not nil. It returns the server and a function that closes it at
 // once, which aborts requests in progress. It replaces srv.ConnState.
 func Serve(l net.Listener, wrap func(net.Listener) net.Listener, srv *http.Server) (*Server, func()) {
@@ -72,11 +85,11 @@
 // Drain stops accepting connections, closes idle ones and returns when all requests on the others have been answered. It returns an
 // error if ctx ends first.
 func (s *Server) Drain(ctx context.Context) error {
-	for end := time.Now().Add(maxAcceptWait); s.hasUnaccepted() && time.Now().Before(end); {
-		if !clock.Sleep(ctx, acceptPollInterval) {
-			break
-		}
+	quiet := time.Duration(0)
+	if s.seal() {
+		quiet = handshakeWait
 	}
+	s.awaitAccepted(ctx, quiet)
 	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Errorf("close listener: %w", err)
 	}
@@ -91,6 +104,21 @@
 	return nil
 }
 
+// awaitAccepted waits until no connection has waited to be accepted for a time.
+func (s *Server) awaitAccepted(ctx context.Context, quiet time.Duration) {
+	last := time.Now()
+	for now, end := last, last.Add(maxAcceptWait); now.Before(end); now = time.Now() {
+		if s.hasUnaccepted() {
+			last = now
+		} else if now.Sub(last) >= quiet {
+			return
+		}
+		if !clock.Sleep(ctx, acceptPollInterval) {
+			return
+		}
+	}
+}
+
 // busy reports whether a connection has a request in progress or is still within the time for its first one.
 func (s *Server) busy(now time.Time) bool {
 	s.mu.Lock()
--- a/internal/base/drain/drain_test.go
+++ b/internal/base/drain/drain_test.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -193,3 +196,43 @@
 		r.finish <- struct{}{}
 	})
 }
+
+// TestDrainUnderLoad guards against connections that the kernel accepts as the listener closes: their requests end with a reset.
+func TestDrainUnderLoad(t *testing.T) {
+	const rounds, clients, dialTimeout = 40, 16, 50 * time.Millisecond
+	var sent, lost atomic.Int64
+	for range rounds {
+		l, err := drain.Listen(context.Background(), "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		handler := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }
+		s, closeNow := drain.Serve(l, nil, &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: testTimeout})
+		var wg sync.WaitGroup
+		for range clients {
+			wg.Go(func() {
+				for {
+					c, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(context.Background(), "tcp", l.Addr().String())
+					if err != nil {
+						return
+					}
+					sent.Add(1)
+					_, err = fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+					if answer, readErr := io.ReadAll(c); err != nil || readErr != nil || !strings.HasSuffix(string(answer), "whole") {
+						lost.Add(1)
+					}
+					_ = c.Close()
+				}
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+		if err := s.Drain(context.Background()); err != nil {
+			t.Error(err)
+		}
+		wg.Wait()
+		closeNow()
+	}
+	if lost.Load() > 0 {
+		t.Errorf("%d of %d requests on open connections were not answered", lost.Load(), sent.Load())
+	}
+}
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -214,7 +214,7 @@
 
 // serve starts an HTTP server at an address, with a limit on its connections.
 func (e *Edge) serve(ctx context.Context, address string, h http.Handler) (*drain.Server, error) {
-	l, err := listen(ctx, address)
+	l, err := drain.Listen(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"math"
 	"net"
@@ -12,8 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"kumquatreel.example/kumquatreel/internal/tier/admit"
 	"kumquatreel.example/kumquatreel/internal/tier/delay"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
@@ -414,13 +411,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(body)
 }
-
-// listen opens a TCP listener at an address.
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Errorf("listen at %s: %w", address, err)
-	}
-	return l, nil
-}
--- a/internal/wire/netio/netio.go
+++ b/internal/wire/netio/netio.go
@@ -34,11 +34,7 @@
 
 // Listen opens a TCP listener.
 func (TCP) Listen(address string) (net.Listener, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, errors.Errorf("listen on %s: %w", address, err)
-	}
-	return l, nil
+	return drain.Listen(context.Background(), address)
 }
 
 // Dial opens a TCP connection.
