link: a status that is none ends its attempt at once as lost

Cause: 000 to 099 counted as interim answers, so that a part cost its whole time; 101 and 600 to 999 passed as answers, with whatever their headers say, and could reach the client. A second space before the status was skipped, and bytes after an interim answer's head were waited for. Change: internal/base/status decides what a status line may say, three digits from 100 to 599 and not 101; link looks at the line before it reads the head, and takes no interim answer with a body. The attempt is lost, the connection closed, the log line shows the line as it was read.

--- /dev/null
+++ b/internal/base/status/status.go
@@ -0,0 +1,54 @@
+package status
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// LineBytes is the length of the part of a status line that Parse needs, up to the byte after the status.
+	LineBytes = len("HTTP/1.1 200\n")
+
+	minInterim, minFinal, maxFinal = 100, 200, 599
+)
+
+// ErrBroken is the cause of the errors about answers whose status says nothing.
+var ErrBroken = errors.New("answer has no valid status")
+
+// Final reports whether a status ends a request: 200 to 599.
+func Final(code int) bool { return code >= minFinal && code <= maxFinal }
+
+// Interim reports whether another answer follows one with this status: 1xx except 101, which nobody asks for.
+func Interim(code int) bool {
+	return code >= minInterim && code < minFinal && code != http.StatusSwitchingProtocols
+}
+
+// Parse returns the final or interim status in a line that begins an answer of HTTP/1. The line may be cut off after LineBytes.
+func Parse(line []byte) (int, error) {
+	const digits = len("HTTP/1.1 ")
+	ok := len(line) >= LineBytes && string(line[:len("HTTP/1.")]) == "HTTP/1." && isDigit(line[len("HTTP/1.")]) && line[digits-1] == ' '
+	code := 0
+	for i := digits; ok && i < digits+3; i++ {
+		ok = isDigit(line[i])
+		code = 10*code + int(line[i]-'0')
+	}
+	if ok {
+		end := line[digits+3]
+		ok = (end == ' ' || end == '\r' || end == '\n') && (Final(code) || Interim(code))
+	}
+	if !ok {
+		return 0, errors.Errorf("status line %q: %w", line, ErrBroken)
+	}
+	return code, nil
+}
+
+// Check returns an error unless a status ends a request. It is for answers that another package has read.
+func Check(code int) error {
+	if !Final(code) {
+		return errors.Errorf("status %03d: %w", code, ErrBroken)
+	}
+	return nil
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"math"
 	"net"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"kumquatreel.example/kumquatreel/internal/base/status"
 )
 
 const (
@@ -23,6 +26,8 @@
 	idleTimeoutFraction = 0.8
 	// maxHeadBytes bounds the status line and the headers of an answer.
 	maxHeadBytes = 64 << 10
+	// maxShownBytes is how much of a status line an error shows.
+	maxShownBytes = 40
 	// maxInterimAnswers is how many interim answers (1xx) may come before the final one.
 	maxInterimAnswers = 8
 	// maxStaleAnswers is how many answers to earlier requests are read before the connection is closed.
@@ -39,6 +44,7 @@
 	errRevoked   = errors.New("request was revoked before it was sent")
 	errTruncated = errors.New("answer is truncated")
 	errInterim   = errors.New("too many interim answers")
+	errBodied    = errors.New("interim answer has a body")
 	errUnasked   = errors.New("server sent bytes on a new connection before a request")
 	errMemory    = errors.New("too many bytes of answers are held")
 )
@@ -157,10 +163,19 @@
 	for range maxInterimAnswers {
 		c.limit.left = maxHeadBytes
 		buffered := c.br.Buffered()
+		if err := c.checkStatus(); err != nil {
+			return nil, false, err
+		}
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, false, errors.Errorf("read answer: %w", err)
 		}
+		if status.Interim(resp.StatusCode) {
+			if hasBody(resp) {
+				return nil, false, errors.Errorf("status line %q: %w", resp.Proto+" "+resp.Status, errBodied)
+			}
+			continue
+		}
 		head := maxHeadBytes - c.limit.left + int64(buffered-c.br.Buffered())
 		c.limit.left = math.MaxInt64
 		body, err := c.readBody(resp, head, maxBytes)
@@ -174,14 +189,37 @@
 			answer.Release()
 			return nil, false, errors.Errorf("close answer: %w", err)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return answer, resp.Close, nil
-		}
-		answer.Release()
+		return answer, resp.Close, nil
 	}
 	return nil, false, errInterim
 }
 
+// checkStatus returns an error unless the next bytes begin an answer with a valid status. It takes no more of a line than it has to.
+func (c *conn) checkStatus() error {
+	for n := 1; ; n++ {
+		line, err := c.br.Peek(n)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return errors.Errorf("read answer: %w", err)
+		}
+		if n == status.LineBytes || line[n-1] == '\n' {
+			rest, _ := c.br.Peek(min(c.br.Buffered(), maxShownBytes))
+			if end := bytes.IndexByte(rest, '\n'); end >= 0 {
+				rest = rest[:end+1]
+			}
+			_, err := status.Parse(rest)
+			return err
+		}
+	}
+}
+
+func hasBody(interim *http.Response) bool {
+	length := interim.Header.Get("Content-Length")
+	return length != "" && length != "0" || interim.Header.Get("Transfer-Encoding") != "" || len(interim.TransferEncoding) > 0
+}
+
 // readBody returns the complete body of an answer, whose head has the given size. Memory is taken as the bytes arrive, whatever length is
 // announced. Unless an error is returned, head and body stay held.
 func (c *conn) readBody(resp *http.Response, head, maxBytes int64) (body []byte, err error) {
--- a/internal/tier/link/conn_test.go
+++ b/internal/tier/link/conn_test.go
@@ -40,6 +40,11 @@
 		"HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 9\r\n\r\nshort",
 		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
 		"no answer at all",
+		"HTTP/1.1 000 X\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n" + response(id, "own", ""),
+		"HTTP/1.1 101 Switch\r\nX-Id: r1\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nabc" + response(id, "own", ""),
+		"HTTP/1.1 999 X\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1  200 OK\nX-Id: r1\nContent-Length: 0\n\n",
 	} {
 		for _, uses := range []int{0, 3} {
 			f.Add([]byte(s), uses)
@@ -60,6 +65,9 @@
 		if echoed != "" && echoed != id || echoed == "" && uses > 0 {
 			t.Fatalf("accepted the answer to request %q on a connection used %d times", echoed, uses)
 		}
+		if answer.Status < 200 || answer.Status > 599 {
+			t.Fatalf("accepted the status %d", answer.Status)
+		}
 		if len(answer.Body) > maxBytes {
 			t.Fatalf("body has %d bytes, want at most %d", len(answer.Body), maxBytes)
 		}
