owner, netio, client: check the status before anything else of a response

Cause: net/http passes 000, 101 and 999 on. The owner took the header Not-Run of such a response for a refusal, after which a part may be sent again, and Draining for the server's word. The body of a 101 has no end and was read first. Change: a response whose status ends nothing has an unknown outcome; its connections are closed. The store's client and /news count only the statuses that they know, and need no change.

--- a/internal/node/owner/backend.go
+++ b/internal/node/owner/backend.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/fault"
+	"kumquatreel.example/kumquatreel/internal/base/status"
 	"kumquatreel.example/kumquatreel/internal/conf/schema"
 	"kumquatreel.example/kumquatreel/internal/limit/slots"
 	"kumquatreel.example/kumquatreel/internal/query/merge"
@@ -86,6 +87,11 @@
 		return p.connectionFailure(ctx, reply, connected())
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if status.Check(resp.StatusCode) != nil {
+		// Nothing else in the response counts either.
+		p.close()
+		return failed(reply, fault.OutcomeUnknown, fault.CodeWrongAnswer, slots.Result{})
+	}
 	result := slots.Result{
 		Incarnation: resp.Header.Get(HeaderIncarnation),
 		Draining:    resp.Header.Get(HeaderDraining) == "yes",
--- a/internal/wire/client/client.go
+++ b/internal/wire/client/client.go
@@ -13,6 +13,7 @@
 
 	"kumquatreel.example/kumquatreel/internal/base/fault"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/base/status"
 	"kumquatreel.example/kumquatreel/internal/wire/netio"
 	"kumquatreel.example/kumquatreel/internal/wire/public"
 )
@@ -178,6 +179,9 @@
 		return transportError(connected(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := status.Check(resp.StatusCode); err != nil {
+		return transportError(true, err)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return transportError(true, err)
--- a/internal/wire/netio/netio.go
+++ b/internal/wire/netio/netio.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/drain"
+	"kumquatreel.example/kumquatreel/internal/base/status"
 )
 
 const (
@@ -208,6 +209,9 @@
 		return errors.Errorf("request %s: %w", req.URL.Path, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := status.Check(resp.StatusCode); err != nil {
+		return errors.Errorf("request %s: %w", req.URL.Path, err)
+	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return errors.Errorf("read %s: %w", req.URL.Path, err)
