header: read a load report with four figures

Cause: servers may tell "running,waiting,slots,pace"; the whole report was dropped because of the fourth figure. Change: Load has Pace, 1 as usual and 0 if not told. A fourth figure that is malformed, 0 or above 100 times the usual counts as not told; the rest of the report holds.

--- a/internal/tier/header/header.go
+++ b/internal/tier/header/header.go
@@ -75,17 +75,28 @@
 	return b.Bytes(), nil
 }
 
+const (
+	// usualPace is the pace of a server whose work takes as long as usual.
+	usualPace = 100
+	// maxPace is the largest pace that is believed.
+	maxPace = 100 * usualPace
+)
+
 // Load is the load that a backend server reports: its running and waiting requests and its slots.
 type Load struct {
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the server's machine at this moment, relative to the usual time, or 0 if the server does not tell.
+	Pace float64
 }
 
-// ParseLoad parses a load of the form "running,waiting,slots". It returns false if the text is malformed or a count is negative.
+// ParseLoad parses a load of the form "running,waiting,slots" or "running,waiting,slots,pace". It returns false if the text is malformed or a
+// count is negative. A pace that cannot be read counts as not told.
 func ParseLoad(text string) (Load, bool) {
 	running, rest, ok1 := strings.Cut(text, ",")
-	waiting, slots, ok2 := strings.Cut(rest, ",")
+	waiting, rest, ok2 := strings.Cut(rest, ",")
+	slots, pace, _ := strings.Cut(rest, ",")
 	if !ok1 || !ok2 {
 		return Load{}, false
 	}
@@ -100,6 +111,9 @@
 		}
 		*f.dst = n
 	}
+	if n, err := strconv.ParseUint(strings.TrimSpace(pace), 10, 32); err == nil && n <= maxPace {
+		l.Pace = float64(n) / usualPace
+	}
 	return l, true
 }
 
