assign: as many VMs of each near failure domain

Cause: VMs prefer servers of their own domain, so that four VMs over three domains load one of them twice. Measured: go test ./internal/tier/assign ./internal/conf/setup passes.

--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -58,8 +58,10 @@
 	RateSlack      *float64 `json:"rateSlack"`
 	MaxKeepSeconds float64  `json:"keepSecondsMost"`
 	// FirstStart says that the whole fleet starts for the first time, so that no other VM can have used any of the teams' rates.
-	FirstStart bool   `json:"firstStart"`
-	LogLevel   string `json:"logLevel"`
+	FirstStart bool `json:"firstStart"`
+	// EvenLoad says that VMs use the pace that servers tell and what other VMs have heard of their load.
+	EvenLoad bool   `json:"evenLoad"`
+	LogLevel string `json:"logLevel"`
 }
 
 // Settings holds checked settings with defaults applied.
@@ -239,6 +241,9 @@
 // FirstStart reports whether the whole fleet starts for the first time.
 func (s Settings) FirstStart() bool { return s.text.FirstStart }
 
+// EvenLoad reports whether VMs use the pace that servers tell and what other VMs have heard of their load.
+func (s Settings) EvenLoad() bool { return s.text.EvenLoad }
+
 // ServerHeartbeat returns the interval at which servers renew their entries in the store.
 func (s Settings) ServerHeartbeat() time.Duration {
 	return time.Duration(s.text.ServerHeartbeatMillis) * time.Millisecond
--- a/internal/tier/assign/assign.go
+++ b/internal/tier/assign/assign.go
@@ -12,6 +12,8 @@
 	targetUtilization = 0.3
 	// minVMs is the smallest number of VMs that clients are directed to, if as many are usable.
 	minVMs = 4
+	// minEvenVMs is the smallest number if each failure domain is to give as many.
+	minEvenVMs = 3
 	// nearFraction of the largest number of servers in any failure domain is the smallest number with which a domain counts as
 	// near to the servers.
 	nearFraction = 0.5
@@ -41,7 +43,31 @@
 // Choose returns the addresses of the VMs that clients are directed to, in order of rank, given the number of backend servers
 // in each failure domain.
 func Choose(vms []VM, servers map[ident.Domain]int) []string {
+	return choose(usable(vms), servers, minVMs, 1)
+}
+
+// ChooseEven is like Choose, but each failure domain near to the servers gives the same number of VMs, if their CPU shares are equal: a VM
+// prefers the servers of its own domain, which get more than the others where more VMs are.
+//
+// Load pattern: clients spread evenly over the VMs, and their number is not a multiple of that of the domains.
+func ChooseEven(vms []VM, servers map[ident.Domain]int) []string {
 	vms = usable(vms)
+	domains := make(map[ident.Domain]bool)
+	isNear := near(servers)
+	for _, vm := range vms {
+		if isNear(vm.Domain) {
+			domains[vm.Domain] = true
+		}
+	}
+	n := len(domains)
+	if n == 0 || n > minVMs {
+		return choose(vms, servers, minVMs, 1)
+	}
+	return choose(vms, servers, max(minEvenVMs, minVMs/n*n), n)
+}
+
+// choose returns the addresses of a multiple of step VMs, as many as the load needs and at least least, if there are that many.
+func choose(vms []VM, servers map[ident.Domain]int, least, step int) []string {
 	ranked := Rank(vms, servers)
 	load := 0.0
 	for _, vm := range vms {
@@ -50,7 +76,7 @@
 	var out []string
 	capacity := 0.0
 	for _, vm := range ranked {
-		if len(out) >= maxAddresses || len(out) >= minVMs && capacity >= load {
+		if len(out) >= maxAddresses || len(out) >= least && capacity >= load && len(out)%step == 0 {
 			break
 		}
 		out = append(out, vm.Address)
@@ -89,10 +115,7 @@
 // Rank orders VMs: those in failure domains near to the servers first, then by CPU share, with VMs of equal share taken from
 // the domains in turn. A pseudorandom score of the name orders VMs that are otherwise equal.
 func Rank(vms []VM, servers map[ident.Domain]int) []VM {
-	maxServers := 0
-	for _, n := range servers {
-		maxServers = max(maxServers, n)
-	}
+	isNear := near(servers)
 	// The keys are computed once for each VM, since comparisons grow faster than the fleet.
 	type keyed struct {
 		VM
@@ -103,7 +126,7 @@
 	keys := make([]keyed, len(vms))
 	for i, vm := range vms {
 		keys[i] = keyed{
-			VM: vm, near: float64(servers[vm.Domain]) >= nearFraction*float64(maxServers), score: ident.Score("callers", string(vm.Name)),
+			VM: vm, near: isNear(vm.Domain), score: ident.Score("callers", string(vm.Name)),
 		}
 	}
 	slices.SortFunc(keys, func(a, b keyed) int {
@@ -124,6 +147,15 @@
 	return ranked
 }
 
+// near returns which domains are near to the servers.
+func near(servers map[ident.Domain]int) func(ident.Domain) bool {
+	most := 0
+	for _, n := range servers {
+		most = max(most, n)
+	}
+	return func(d ident.Domain) bool { return float64(servers[d]) >= nearFraction*float64(most) }
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/tier/assign/assign_test.go
+++ b/internal/tier/assign/assign_test.go
@@ -96,6 +96,45 @@
 	})
 }
 
+// Guards against a failure domain with more VMs than the others, whose servers would get more.
+func TestChooseEven(t *testing.T) {
+	three := map[ident.Domain]int{"north": 20, "south": 20, "west": 18, "east": 2}
+	busy := func(load float64) []assign.VM {
+		all := slices.Concat(vms("north", 5, 0.5), vms("south", 5, 0.5), vms("west", 5, 0.5), vms("east", 5, 0.5))
+		for i := range all {
+			all[i].Load = load
+		}
+		return all
+	}
+	for _, c := range []struct {
+		name    string
+		vms     []assign.VM
+		servers map[ident.Domain]int
+		each    int
+		domains []string
+	}{
+		{"names one VM of each of three domains", busy(0), three, 1, []string{"north", "south", "west"}},
+		{"names as many of each as the load needs", busy(0.03), three, 2, []string{"north", "south", "west"}},
+		{"names two of each of two domains", busy(0), servers, 2, []string{"north", "south"}},
+		{"names four of a single one", busy(0), map[ident.Domain]int{"north": 1}, 4, []string{"north"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := assign.ChooseEven(c.vms, c.servers)
+			for _, d := range c.domains {
+				assertCount(t, got, d, c.each)
+			}
+			if len(got) != c.each*len(c.domains) {
+				t.Errorf("named %v, want %d of each of %v", got, c.each, c.domains)
+			}
+		})
+	}
+	t.Run("names those that there are", func(t *testing.T) {
+		if got := assign.ChooseEven(vms("east", 2, 1), three); len(got) != 2 {
+			t.Errorf("named %v, want both VMs", got)
+		}
+	})
+}
+
 // Guards against a VM that takes all connections of the servers: after a restart of the whole fleet no VM has load yet, though
 // several will serve.
 func TestServing(t *testing.T) {
