place: choose by pace and by the news of other VMs

Cause: a told load is believed for 200 ms and the least is taken, so that all VMs with the same old news take the same server; the pace that servers tell is not used. Change: with SetEven, the cost has the told pace, which fades and is taken out of the learned latency; the freshest of the VM's own and other VMs' news, with what the VM has sent since and the others probably have; and a penalty for a server that stalls for another VM. One of the servers close to the lowest cost is drawn. Hearsay withholds no server. Without SetEven choices are as before. Reports are bounded and sorted by use.

--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -78,6 +78,9 @@
 type Balancer struct {
 	servers map[ident.Server]*serverStats
 	next    uint64
+	// vms is the number of VMs that serve clients, 0 unless pace and the news of other VMs are used.
+	vms   int
+	heard Heard
 }
 
 type serverStats struct {
@@ -94,6 +97,18 @@
 	backoff      time.Duration
 	// dialFailedAt is when a connection to the server last failed.
 	dialFailedAt time.Time
+	// pace is the pace in load. answeredAt is when the server last answered.
+	pace       float64
+	answeredAt time.Time
+	// heard is the last news of the server's load from another VM, stalledAt when another VM last waited for it in vain.
+	heard     News
+	stalledAt time.Time
+	// rate is the average rate at which the VM sends to the server, as of rateAt.
+	rate   float64
+	rateAt time.Time
+	// toldSum and toldCount give the mean load that was told since the last call of FlushLoads.
+	toldSum   float64
+	toldCount int
 }
 
 type request struct {
@@ -108,6 +123,12 @@
 //
 // Typical is the typical latency of this kind of request, failureCost the time that a failed attempt costs.
 func (b *Balancer) Pick(now time.Time, candidates []Candidate, typical, failureCost time.Duration, rng *rand.Rand) (Candidate, bool) {
+	if b.vms > 0 {
+		if cand, ok := b.draw(now, candidates, typical, failureCost, rng); ok {
+			return cand, true
+		}
+		return b.probe(now, candidates)
+	}
 	best, cost := Candidate{}, time.Duration(math.MaxInt64)
 	for _, cand := range candidates {
 		c, ok := b.Cost(now, cand, typical, failureCost)
@@ -151,11 +172,16 @@
 	if now.Before(st.backoffUntil) {
 		return 0, false
 	}
-	queueing := max(0, st.queueLength(now)+1-float64(cand.Slots)) / float64(cand.Slots)
-	cost := b.applyPenalties(time.Duration(float64(typical)*st.currentLatencyRatio(now)*(1+queueing)), cand)
+	load, ratio, stalled := st.queueLength(now), st.currentLatencyRatio(now), time.Duration(0)
+	if b.vms > 0 {
+		load, ratio, stalled = b.expectedLoad(now, st, cand.Slots, typical), st.ratioAt(now, st.news()), st.stallPenalty(now)
+	}
+	queueing := max(0, load+1-float64(cand.Slots)) / float64(cand.Slots)
+	cost := b.applyPenalties(time.Duration(float64(typical)*ratio*(1+queueing)), cand)
 	if st.overdue(now) {
-		cost += overduePenalty
+		stalled = overduePenalty
 	}
+	cost += stalled
 	cost += time.Duration(st.currentFailureRate(now) * float64(failureCost))
 	return cost, true
 }
@@ -219,6 +245,7 @@
 	st := b.stats(now, s)
 	b.next++
 	st.inFlight = append(st.inFlight, request{id: b.next, sent: now, typical: typical})
+	st.countSend(now)
 	return Handle{server: s, id: b.next}
 }
 
@@ -228,13 +255,12 @@
 	st := b.stats(now, h.server)
 	wasBackingOff = st.backoff > 0
 	if req, ok := st.remove(h.id); ok {
-		st.observeLatency(now, req)
+		st.observeLatency(now, req, b.pace(load))
 	}
 	st.observeResult(now, 0)
 	st.backoffUntil, st.backoff = time.Time{}, 0
-	if load != nil {
-		st.load, st.loadAt = *load, now
-	}
+	st.answeredAt, st.stalledAt = now, time.Time{}
+	b.observeLoad(now, st, load)
 	return wasBackingOff
 }
 
@@ -244,9 +270,7 @@
 	st := b.stats(now, h.server)
 	st.remove(h.id)
 	st.observeResult(now, 1)
-	if load != nil {
-		st.load, st.loadAt = *load, now
-	}
+	b.observeLoad(now, st, load)
 }
 
 // Failed records a failed request that gives no reason for a backoff of the server.
@@ -312,12 +336,13 @@
 }
 
 // observeLatency updates the latency ratio. The ratio of one answer is capped so that a pause of the server is not taken for low speed.
-func (st *serverStats) observeLatency(now time.Time, req request) {
+// The part that the pace explains is left out.
+func (st *serverStats) observeLatency(now time.Time, req request, pace float64) {
 	if req.typical <= 0 {
 		return
 	}
-	ratio := min(float64(now.Sub(req.sent))/float64(req.typical), maxLatencyRatio)
-	st.latencyRatio = st.currentLatencyRatio(now) + latencyWeight*(ratio-st.currentLatencyRatio(now))
+	ratio := min(float64(now.Sub(req.sent))/float64(req.typical)/pace, maxLatencyRatio)
+	st.latencyRatio = st.learnedRatio(now) + latencyWeight*(ratio-st.learnedRatio(now))
 	st.latencyAt = now
 }
 
@@ -336,8 +361,14 @@
 	return rate
 }
 
-// currentLatencyRatio returns the latency ratio, which decays towards 1 while the server gives no answers.
+// currentLatencyRatio returns the latency ratio with the pace that the server has told this VM. What others say of it is left out, since
+// servers are passed over by it.
 func (st *serverStats) currentLatencyRatio(now time.Time) float64 {
+	return st.ratioAt(now, News{Load: header.Load{Pace: st.pace}, At: st.loadAt})
+}
+
+// learnedRatio returns the latency ratio, which decays towards 1 while the server gives no answers.
+func (st *serverStats) learnedRatio(now time.Time) float64 {
 	idle := float64(now.Sub(st.latencyAt)) / float64(latencyHalfLife)
 	if idle < 0.05 {
 		return st.latencyRatio
