surge: replay many VMs with old news

Cause: the herd of VMs was in no model. Change: servers tell their pace, VMs pass on loads with the limits each 200 ms; policies to compare: in turn, two choices, exact knowledge. Results have the waits at servers and the busiest server over the mean of each second.

--- a/internal/lab/surge/server.go
+++ b/internal/lab/surge/server.go
@@ -32,6 +32,8 @@
 	rng     *rand.Rand
 	phase   time.Duration
 	running int
+	// loadSum is the sum of the loads sampled in this second.
+	loadSum int
 	queue   []*call
 	work    time.Duration
 	// arrivals holds the times of its requests since it last began to name a limit.
@@ -62,6 +64,7 @@
 // call is an attempt at a server.
 type call struct {
 	from     *vm
+	arrived  time.Duration
 	work     time.Duration
 	deadline time.Duration
 	reply    func(v gather.Verdict, load *header.Load)
@@ -75,6 +78,7 @@
 		s.arrivals = nil
 	}
 	s.countIntrusion(c.from)
+	c.arrived = s.sim.Now()
 	switch {
 	case s.Dark:
 		s.sim.After(c.deadline-s.sim.Now(), func() { c.reply(gather.VerdictLost, nil) })
@@ -109,6 +113,7 @@
 
 func (s *Server) start(c *call) {
 	s.running++
+	s.sim.result.Waits = append(s.sim.result.Waits, s.sim.Now()-c.arrived)
 	factor := math.Exp(workSigma*s.rng.NormFloat64() - workSigma*workSigma/2)
 	if s.rng.Float64() < stragglerFraction {
 		factor *= stragglerFactor
@@ -157,5 +162,5 @@
 }
 
 func (s *Server) load() *header.Load {
-	return &header.Load{Running: s.running, Waiting: len(s.queue), Slots: s.sim.params.Slots}
+	return &header.Load{Running: s.running, Waiting: len(s.queue), Slots: s.sim.params.Slots, Pace: max(1, s.SlowFactor)}
 }
--- a/internal/lab/surge/surge.go
+++ b/internal/lab/surge/surge.go
@@ -58,6 +58,8 @@
 	// Load is the factor by which the rates of all kinds are multiplied.
 	Load float64
 	Seed uint64
+	// Policy is how VMs choose servers.
+	Policy Policy
 }
 
 // Outcome counts what became of the requests of one kind.
@@ -80,6 +82,11 @@
 	// Sent counts the parts sent to servers, Hedges those sent beside a late one, Rejected those that servers refused, and Used those in
 	// answers.
 	Sent, Hedges, Rejected, Used int
+	// Waits holds the time that each part waited at its server.
+	Waits []time.Duration
+	// Spread is the sum, over Samples of a second and a shard, of the busiest server's mean load over that of all.
+	Spread  float64
+	Samples int
 }
 
 // Add adds the counts of another result, of the same kinds.
@@ -90,6 +97,7 @@
 		k.Refused, k.Failed, k.Value = k.Refused+other.Refused, k.Failed+other.Failed, k.Value+other.Value
 	}
 	r.Sent, r.Hedges, r.Rejected, r.Used = r.Sent+o.Sent, r.Hedges+o.Hedges, r.Rejected+o.Rejected, r.Used+o.Used
+	r.Waits, r.Spread, r.Samples = append(r.Waits, o.Waits...), r.Spread+o.Spread, r.Samples+o.Samples
 }
 
 // Simulation is a simulated system. It is not safe for concurrent use.
@@ -113,6 +121,8 @@
 	pacer    pacer.Limiter
 	roster   *roster.Roster
 	latency  []timing.Estimator
+	// turn is the number of choices made in turn.
+	turn int
 }
 
 // New returns a system in which nothing has been sent.
@@ -140,6 +150,9 @@
 		for k, kind := range p.Kinds {
 			v.latency[k].Init(kind.Work)
 		}
+		if p.Policy == PolicyEven {
+			v.balancer.SetEven(p.VMs)
+		}
 		v.pacer.SetFleet(sim.instant(), fleet[i].Name, fleet, nil, 1)
 		for shard, servers := range sim.replicas {
 			for _, srv := range servers {
@@ -164,6 +177,7 @@
 		longest = max(longest, sim.params.Kinds[k].Budget)
 	}
 	sim.gossip(sim.Now() + d)
+	sim.sampleSpread(sim.Now() + d)
 	sim.Run(sim.Now()+d+2*longest, nil)
 	return sim.result
 }
@@ -181,17 +195,18 @@
 	})
 }
 
-// gossip tells the VMs what the others have heard of the limits of servers, until the given time.
+// gossip tells the VMs what the others have heard of the limits and loads of servers, until the given time.
 func (sim *Simulation) gossip(until time.Duration) {
 	if sim.Now()+gossipInterval > until {
 		return
 	}
 	sim.After(gossipInterval, func() {
 		for _, from := range sim.vms {
-			reports := from.pacer.Reports(sim.instant())
+			reports, loads := from.pacer.Reports(sim.instant()), from.balancer.Reports(sim.instant())
 			for _, to := range sim.vms {
 				if to != from {
 					to.pacer.ApplyReports(sim.instant(), reports)
+					to.balancer.ApplyReports(sim.instant(), loads, func(ident.Server) bool { return true })
 				}
 			}
 		}
@@ -270,6 +285,9 @@
 // Choose implements gather.Chooser.
 func (r *run) Choose(now time.Time, s ident.Service, exclude []ident.Server, cause gather.Cause) (ident.Server, gather.Capacity) {
 	sim := r.vm.sim
+	if sim.params.Policy > PolicyEven {
+		return r.vm.chooseSimply(s, exclude)
+	}
 	before := r.skipped.AtCapacity()
 	attempt := place.Attempt{
 		Typical: r.typical, FailureCost: r.due, MaxWait: place.MaxWait(false, r.due), Hedge: cause == gather.CauseLate,
