edge: show what is known of the load of servers

Cause: an operator couldn't see how old and how even the loads are that a VM goes by. Change: metrics of the reports heard, of the age of the freshest by source, and of the busiest server of a service over the mean; beliefs show for each server its load, pace, source and age. The golden page of beliefs has the new column. Measured: go test ./internal/tier/edge ./internal/tier/belief passes.

--- a/internal/tier/belief/belief.go
+++ b/internal/tier/belief/belief.go
@@ -62,6 +62,19 @@
 	Started  int64         `json:"started"`
 	InFlight int           `json:"inFlight"`
 	Reasons  []Reason      `json:"reasons,omitempty"`
+	// Load is the freshest news of its load, nil if there is none.
+	Load *Load `json:"load,omitempty"`
+}
+
+// Load is what the VM has heard last of the load of a server.
+type Load struct {
+	// Requests is the number of requests that run or wait at the server, Pace how long work takes relative to the usual time, 0 if not told.
+	Requests int     `json:"requests"`
+	Pace     float64 `json:"pace,omitempty"`
+	// Stalled says that another VM waits for the server in vain.
+	Stalled bool   `json:"stalled,omitempty"`
+	Source  Source `json:"source"`
+	AgeMs   int64  `json:"ageMs"`
 }
 
 // Team is what the VM believes of a team. Its keys are not shown.
--- a/internal/tier/belief/print.go
+++ b/internal/tier/belief/print.go
@@ -16,9 +16,10 @@
 	fmt.Fprintf(&b, "VM %s at %s\n", p.VM, p.At.UTC().Format(time.RFC3339Nano))
 	fmt.Fprintf(&b, "store: era %d, revision %d, configuration %d, watching %v, holding %v\n\n", p.Store.Era, p.Store.Revision,
 		p.Store.ConfigVersion, p.Store.Watching, p.Store.Holding)
-	fmt.Fprintln(&b, "SERVER\tSERVICE\tDOMAIN\tADDRESS\tREVISION\tIN FLIGHT\tGETS NO REQUESTS, OR ONLY THE LAST")
+	fmt.Fprintln(&b, "SERVER\tSERVICE\tDOMAIN\tADDRESS\tREVISION\tIN FLIGHT\tLOAD\tGETS NO REQUESTS, OR ONLY THE LAST")
 	for _, s := range p.Servers {
-		fmt.Fprintf(&b, "%s\t%s\t%s\t%s\t%d\t%d\t%s\n", s.Server, s.Service, s.Domain, s.Address, s.Revision, s.InFlight, reasons(s.Reasons))
+		fmt.Fprintf(&b, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", s.Server, s.Service, s.Domain, s.Address, s.Revision, s.InFlight, load(s.Load),
+			reasons(s.Reasons))
 	}
 	fmt.Fprintln(&b, "\nTEAM\tRATE\tBURST\tTOKENS")
 	for _, m := range p.Teams {
@@ -39,6 +40,20 @@
 	return nil
 }
 
+func load(l *Load) string {
+	if l == nil {
+		return "-"
+	}
+	text := fmt.Sprint(l.Requests)
+	if l.Stalled {
+		text = "stalled"
+	}
+	if l.Pace > 0 {
+		text += fmt.Sprintf(" at pace %g", l.Pace)
+	}
+	return fmt.Sprintf("%s (%v, %v ago)", text, l.Source, millis(l.AgeMs))
+}
+
 func reasons(all []Reason) string {
 	var out []string
 	for _, r := range all {
--- a/internal/tier/belief/print_test.go
+++ b/internal/tier/belief/print_test.go
@@ -15,7 +15,9 @@
 	err := belief.Print(&b, belief.Page{
 		VM: "vm0", At: time.Unix(1700000000, 0), Store: belief.Store{Era: 1, Revision: 40, ConfigVersion: 3, Watching: true},
 		Servers: []belief.Server{
-			{Server: "i-1", Service: "books", Domain: "north", Address: "127.0.0.1:80", Revision: 12, InFlight: 2},
+			{Server: "i-1", Service: "books", Domain: "north", Address: "127.0.0.1:80", Revision: 12, InFlight: 2, Load: &belief.Load{
+				Requests: 3, Pace: 1.5, Source: belief.SourceOtherVM, AgeMs: 310,
+			}},
 			{Server: "i-2", Service: "books", Domain: "south", Address: "127.0.0.2:80", Revision: 13, Reasons: []belief.Reason{
 				{What: belief.WhatLeaving, Source: belief.SourceServer, AgeMs: 1500},
 				{What: belief.WhatResting, Source: belief.SourceOtherVM, ForMs: 800},
--- a/internal/tier/edge/beliefs.go
+++ b/internal/tier/edge/beliefs.go
@@ -69,7 +69,7 @@
 		}
 		out = append(out, belief.Server{
 			Server: e.Server, Service: e.Service, Domain: e.Domain, Address: e.Address, Revision: e.Revision, Started: e.Started,
-			InFlight: d.balancer.InFlight(e.Server), Reasons: d.reasons(now, m),
+			InFlight: d.balancer.InFlight(e.Server), Reasons: d.reasons(now, m), Load: d.load(now, e.Server),
 		})
 	}
 	return out
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -279,6 +279,7 @@
 		}
 		e.reportLimited()
 		e.reportRests()
+		e.metrics.loads(e.dispatch.flushLoads(time.Now()))
 		e.settle(time.Now())
 		if n%summaryRounds == 0 {
 			e.logState()
--- a/internal/tier/edge/meter.go
+++ b/internal/tier/edge/meter.go
@@ -11,6 +11,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/base/sets"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
+	"kumquatreel.example/kumquatreel/internal/tier/belief"
 )
 
 // seriesRetention is how long the metrics of a removed route are kept.
@@ -32,6 +33,10 @@
 	// limitedServers is the number of servers that name a limit, limitedSends counts the requests to them.
 	limitedServers prometheus.Gauge
 	limitedSends   *prometheus.CounterVec
+	// loadReports counts the load reports heard, loadAge holds the age of the freshest one of each server once a second.
+	loadReports *prometheus.CounterVec
+	loadAge     *prometheus.HistogramVec
+	busiest     *prometheus.GaugeVec
 }
 
 func newMeter() *meter {
@@ -67,9 +72,19 @@
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatreel_edge_limited_sends_total", Help: "Requests sent to servers that name a request limit.",
 		}, []string{"use"}),
+		loadReports: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatreel_edge_load_reports_total", Help: "Reports of a server's load that were fresher than what was known, by source.",
+		}, []string{"source"}),
+		loadAge: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "kumquatreel_edge_load_age_seconds", Help: "Age of the freshest load of each server, sampled each second.",
+			Buckets: []float64{0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5},
+		}, []string{"source"}),
+		busiest: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "kumquatreel_edge_busiest_over_mean", Help: "Load of the busiest server of a service over the mean one, as told in the last second.",
+		}, []string{"service"}),
 	}
 	m.registry.MustRegister(m.latency, m.coverage, m.failed, m.clientsGone, m.version, m.members, m.storeCalls,
-		m.limitedServers, m.limitedSends)
+		m.limitedServers, m.limitedSends, m.loadReports, m.loadAge, m.busiest)
 	return m
 }
 
@@ -110,6 +125,22 @@
 	}
 }
 
+// loads records what was heard of the load of servers since the last call.
+func (m *meter) loads(l loads) {
+	server, vm := belief.SourceServer.String(), belief.SourceOtherVM.String()
+	m.loadReports.WithLabelValues(server).Add(float64(l.heard.Servers))
+	m.loadReports.WithLabelValues(vm).Add(float64(l.heard.VMs))
+	for source, ages := range map[string][]time.Duration{server: l.own, vm: l.others} {
+		for _, age := range ages {
+			m.loadAge.WithLabelValues(source).Observe(age.Seconds())
+		}
+	}
+	m.busiest.Reset()
+	for service, ratio := range l.busiest {
+		m.busiest.WithLabelValues(string(service)).Set(ratio)
+	}
+}
+
 // prune records the routes of the current configuration and deletes the metrics of routes that were removed more than
 // seriesRetention ago.
 func (m *meter) prune(now time.Time, routes sets.Set[ident.Route]) {
