--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -60,8 +60,10 @@
 	// FirstStart says that the whole fleet starts for the first time, so that no other VM can have used any of the teams' rates.
 	FirstStart bool `json:"firstStart"`
 	// UrgentFirst makes requests leave room in the queues of servers for more urgent ones that go to the same servers.
-	UrgentFirst bool   `json:"urgentFirst"`
-	LogLevel    string `json:"logLevel"`
+	UrgentFirst bool `json:"urgentFirst"`
+	// EvenLoad says that VMs use the pace that servers tell and what other VMs have heard of their load.
+	EvenLoad bool   `json:"evenLoad"`
+	LogLevel string `json:"logLevel"`
 }
 
 // Settings holds checked settings with defaults applied.
@@ -244,6 +246,9 @@
 // UrgentFirst reports whether requests leave room in the queues of servers for more urgent ones.
 func (s Settings) UrgentFirst() bool { return s.text.UrgentFirst }
 
+// EvenLoad reports whether VMs use the pace that servers tell and what other VMs have heard of their load.
+func (s Settings) EvenLoad() bool { return s.text.EvenLoad }
+
 // ServerHeartbeat returns the interval at which servers renew their entries in the store.
 func (s Settings) ServerHeartbeat() time.Duration {
 	return time.Duration(s.text.ServerHeartbeatMillis) * time.Millisecond
