edge: pass on loads in heartbeats

Cause: each VM knew of a server only what it was told itself. Change: with evenLoad, heartbeats that are sent anyway carry the news of 32 servers at most, relayed to VMs outside the core in replies, as limits are; VMs choose by them, and clients get as many VMs of each near domain. Without it messages and choices are as before.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -65,6 +65,8 @@
 	limitedSends pacer.Counts
 	// serving is the number of VMs that serve clients, including this one.
 	serving int
+	// even says that pace and the news of other VMs are used.
+	even bool
 	// sentParts counts the parts that were sent, crossDomain those that were sent to servers in other failure domains.
 	sentParts, crossDomain int
 }
--- a/internal/tier/edge/even.go
+++ b/internal/tier/edge/even.go
@@ -9,6 +9,32 @@
 	"kumquatreel.example/kumquatreel/internal/tier/place"
 )
 
+// setEven switches the use of pace and of other VMs' news on or off. The caller holds mu.
+func (d *dispatch) setEven(on bool) {
+	d.even = on
+	if on {
+		d.balancer.SetEven(max(1, d.serving))
+		return
+	}
+	d.balancer.SetEven(0)
+}
+
+// loadReports returns the VM's own news of servers' loads for a heartbeat. The caller holds mu.
+func (d *dispatch) loadReports(now time.Time) map[ident.Server]place.Report {
+	if !d.even {
+		return nil
+	}
+	return d.balancer.Reports(now)
+}
+
+// allLoadReports returns all news of servers' loads for a reply that may be sent for replyMaxAge. The caller holds mu.
+func (d *dispatch) allLoadReports(now time.Time) map[ident.Server]place.Report {
+	if !d.even {
+		return nil
+	}
+	return d.balancer.AllReports(now, replyMaxAge)
+}
+
 // loads is what a VM has heard of the load of servers.
 type loads struct {
 	heard place.Heard
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -94,13 +94,14 @@
 	c := e.core()
 	e.handleMemberEvents(c, events)
 	ready := e.directoryVMs(now)
-	listed := assign.Choose(ready, e.serversByDomain())
+	listed := e.choose(ready)
 	serving := assign.CountServing(ready, len(listed))
 	e.updateParts(now, c, ready, listed)
 	d := e.dispatch
 	d.mu.Lock()
 	servingBefore := d.serving
 	d.serving = serving
+	d.setEven(e.settings.Load().EvenLoad())
 	d.pacer.SetFleet(now, d.self, limitVMs(c, ready), d.vms, d.scale)
 	expired := d.roster.RemoveExpired(now)
 	d.mu.Unlock()
@@ -282,6 +283,7 @@
 	if limitAge > 0 {
 		e.dispatch.mu.Lock()
 		m.ServerLimits = e.dispatch.pacer.AllReports(now, limitAge)
+		m.ServerLoads = e.dispatch.allLoadReports(now)
 		e.dispatch.mu.Unlock()
 	}
 	return m
@@ -293,6 +295,7 @@
 	e.dispatch.mu.Lock()
 	m.ServerLimits = e.dispatch.pacer.Reports(now)
 	m.ServerStatements = e.dispatch.roster.Reports(now)
+	m.ServerLoads = e.dispatch.loadReports(now)
 	e.dispatch.mu.Unlock()
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
@@ -447,6 +450,7 @@
 		}
 	}
 	avoided := d.roster.ApplyReports(now, m.ServerStatements)
+	d.balancer.ApplyReports(now, m.ServerLoads, func(s ident.Server) bool { return d.roster.Member(s) != nil })
 	d.mu.Unlock()
 	for _, server := range avoided {
 		e.log.Info(componentServers, "server is used after the others", "server", server, "leaving", m.ServerStatements[server].Leaving,
@@ -459,7 +463,15 @@
 
 // directory returns the addresses to which clients should send requests.
 func (e *Edge) directory() []string {
-	return assign.Choose(e.directoryVMs(time.Now()), e.serversByDomain())
+	return e.choose(e.directoryVMs(time.Now()))
+}
+
+// choose returns the addresses of those of the given VMs to which clients are directed.
+func (e *Edge) choose(ready []assign.VM) []string {
+	if e.settings.Load().EvenLoad() {
+		return assign.ChooseEven(ready, e.serversByDomain())
+	}
+	return assign.Choose(ready, e.serversByDomain())
 }
 
 // directoryVMs returns the VMs that the directory may list.
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -8,6 +8,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 	"kumquatreel.example/kumquatreel/internal/limit/quota"
+	"kumquatreel.example/kumquatreel/internal/tier/place"
 	"kumquatreel.example/kumquatreel/internal/tier/roster"
 )
 
@@ -94,6 +95,8 @@
 	ServerLimits map[ident.Server]pacer.Report `json:"s,omitempty"`
 	// ServerStatements is what the sender has heard lately of servers that leave or want no requests.
 	ServerStatements map[ident.Server]roster.Report `json:"o,omitempty"`
+	// ServerLoads is what the sender knows of the load of servers.
+	ServerLoads map[ident.Server]place.Report `json:"w,omitempty"`
 	// Asked are the tokens of teams that the sender asks for, Given those that it gives to the receiver.
 	Asked map[ident.Team]float64 `json:"q,omitempty"`
 	Given map[ident.Team]float64 `json:"g,omitempty"`
