--- a/internal/tier/place/even.go
+++ b/internal/tier/place/even.go
@@ -15,6 +15,9 @@
 	rateTimeConstant = time.Second
 	// maxQueueFactor bounds the time that a request of another VM is believed to stay at a server, in units of its work.
 	maxQueueFactor = 4.0
+	// herdSize is the number of VMs that serve clients from which on their choices by the same news make a wave. Fewer take the lowest cost: a
+	// costlier server only makes a part later, and other domains' servers cost traffic.
+	herdSize = 8
 	// nearTie is the cost relative to the lowest one up to which a server may be drawn, drawPower the power of the cost in the weights.
 	nearTie   = 1.5
 	drawPower = 4
@@ -71,7 +74,8 @@
 		age = now.Sub(n.At)
 	}
 	if age < maxNewsAge {
-		told = float64(max(0, n.Load.Running+n.Load.Waiting))
+		// The answer with which the load was told ended one of the requests.
+		told = float64(max(0, n.Load.Running+n.Load.Waiting-1))
 		halfLife := max(loadHalfLife, time.Duration(told/float64(slots)*float64(work)))
 		told *= math.Exp2(-float64(age) / float64(halfLife))
 	}
@@ -81,6 +85,9 @@
 			since++
 		}
 	}
+	if b.vms < herdSize {
+		return max(local, told+float64(since))
+	}
 	rate := st.sendRate(now)
 	stay := work.Seconds() * queueFactor(float64(b.vms)*rate*work.Seconds()/float64(slots))
 	others := float64(b.vms-1) * rate * min(age.Seconds(), stay)
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -134,7 +134,7 @@
 //
 // Typical is the typical latency of this kind of request, failureCost the time that a failed attempt costs.
 func (b *Balancer) Pick(now time.Time, candidates []Candidate, typical, failureCost time.Duration, rng *rand.Rand) (Candidate, bool) {
-	if b.vms > 0 {
+	if b.vms >= herdSize {
 		if cand, ok := b.draw(now, candidates, typical, failureCost, rng); ok {
 			return cand, true
 		}
