--- a/internal/tier/place/even.go
+++ b/internal/tier/place/even.go
@@ -67,7 +67,6 @@
 func (b *Balancer) expectedLoad(now time.Time, st *serverStats, slots int, typical time.Duration) float64 {
 	local := float64(len(st.inFlight))
 	n := st.news()
-	work := time.Duration(float64(typical) * st.ratioAt(now, n))
 	age := maxNewsAge
 	told := 0.0
 	if !n.At.IsZero() {
@@ -76,8 +75,7 @@
 	if age < maxNewsAge {
 		// The answer with which the load was told ended one of the requests.
 		told = float64(max(0, n.Load.Running+n.Load.Waiting-1))
-		halfLife := max(loadHalfLife, time.Duration(told/float64(slots)*float64(work)))
-		told *= math.Exp2(-float64(age) / float64(halfLife))
+		told *= math.Exp2(-float64(age) / float64(loadHalfLife))
 	}
 	since := 0
 	for _, req := range st.inFlight {
@@ -88,7 +86,7 @@
 	if b.vms < herdSize {
 		return max(local, told+float64(since))
 	}
-	rate := st.sendRate(now)
+	rate, work := st.sendRate(now), time.Duration(float64(typical)*st.ratioAt(now, n))
 	stay := work.Seconds() * queueFactor(float64(b.vms)*rate*work.Seconds()/float64(slots))
 	others := float64(b.vms-1) * rate * min(age.Seconds(), stay)
 	return max(local, told+float64(since)+others)
