edge: a request in progress when its VM begins to stop ends its connection too

Whether an answer closes its connection was decided when the request came. With the VM's Shutdown called 5 ms after the first requests, the test failed in one of two plays: a request sent 0.16 ms after the test's signal was refused 1.50 s later, when the VM had long begun to leave, and the connection stayed open.

Change: it is decided when the answer is written. TestInProgressAtStop, on the code before:

--- FAIL: TestInProgressAtStop (3.94s) grace_test.go:107: /one/x: status 200, connection closed false (<nil>), want an answer that closes it grace_test.go:107: /all/x: status 200, connection closed false (<nil>), want an answer that closes it grace_test.go:107: /book/x: status 200, connection closed false (<nil>), want an answer that closes it

Ran: TestInProgressAtStop 3 times, TestLateInGrace 4 times with Shutdown 5 ms late: passed. Left: a request of TestLateInGrace that is refused whole before Shutdown has begun would still fail its check; that was not seen.

--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -70,14 +70,12 @@
 	arrived := time.Now()
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	if e.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if hasBody(r) {
 		e.setBodyDeadline(w, arrived)
 	}
 	rq, rejected := e.admit(r, arrived)
 	if rejected != nil {
+		e.closeIfLeaving(w)
 		e.refuse(w, r, rq, *rejected)
 		return
 	}
@@ -94,9 +92,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	e.health.observe(time.Now(), out.enough)
+	e.closeIfLeaving(w)
 	e.respond(w, r, rq, out)
 }
 
+// closeIfLeaving asks the client to close its connection with the answer if the VM leaves, also if it began to after the request came.
+func (e *Edge) closeIfLeaving(w http.ResponseWriter) {
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // setBodyDeadline bounds the time in which a request body must arrive.
 func (e *Edge) setBodyDeadline(w http.ResponseWriter, arrived time.Time) {
 	timeout := headerTimeout
