link: no room for a second copy of a large body

Cause: the head of a request was made with room for its body, also of one that is written from where it is: a request with a large body to a server that reads slowly held twice its body. Change: the room is made only for small bodies, which are written with the head.

--- a/internal/tier/link/endless_test.go
+++ b/internal/tier/link/endless_test.go
@@ -225,3 +225,24 @@
 	assertVerdict(t, r, gather.VerdictAnswered)
 	r.Answer.Release()
 }
+
+// A server does not read the large bodies of requests. No second copy of a body may be held beside it.
+func TestBodyMemory(t *testing.T) {
+	const calls, bodyBytes = 20, 4 << 20
+	s, tr := newScriptedServer(t, "HTTP/1.1 100 Continue\r\n\r\n"), newTransport(t)
+	body := make([]byte, bodyBytes)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var wg sync.WaitGroup
+	for i := range calls {
+		c := s.call(fmt.Sprintf("r%d", i))
+		c.Body, c.MaxConnections, c.Deadline = body, calls, time.Now().Add(300*time.Millisecond)
+		c.Head = fmt.Appendf(c.Head, "Content-Length: %d\r\n", bodyBytes)
+		wg.Go(func() { assertVerdict(t, tr.Do(t.Context(), c), gather.VerdictLost) })
+	}
+	wg.Wait()
+	runtime.ReadMemStats(&after)
+	if grown := after.TotalAlloc - before.TotalAlloc; grown > calls*bodyBytes/4 {
+		t.Errorf("%d bytes were allocated beside bodies of %d bytes", grown, calls*bodyBytes)
+	}
+}
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -223,8 +223,13 @@
 	return answer, keep, true, err
 }
 
+// head returns the head of a request, with room for a body that is written with it.
 func (t *Transport) head(c Call) []byte {
-	b := make([]byte, 0, len(c.Head)+160+len(c.Body))
+	room := len(c.Head) + 160
+	if len(c.Body) <= maxSyncWriteBytes {
+		room += len(c.Body)
+	}
+	b := make([]byte, 0, room)
 	b = append(b, c.Head...)
 	b = append(b, t.names.RemainingMs...)
 	b = append(b, ": "...)
