cargo, edge: a bound for the bytes of requests that a server holds

Cause: a server crashes if the requests that it holds exceed its memory, which it does not publish; only the connections bounded them. Change: the setting serverHoldKilobytes bounds heads and bodies at one server for the whole fleet, 4096 unless set, 0 for no bound. The VMs that serve clients share it evenly; limit/cargo decides. A server without room is passed over as at capacity (passedLoaded), a VM's only request there never.

--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -25,9 +25,13 @@
 	defaultRateOvershoot         = 0.25
 	defaultRateSlack             = 20.0
 	defaultMaxKeepSeconds        = 5.0
+	defaultServerHoldKilobytes   = 4096
 	defaultLogLevel              = "info"
 )
 
+// maxServerHoldKilobytes is a terabyte.
+const maxServerHoldKilobytes = 1 << 30
+
 // Text is the JSON form of a settings file. Address is an IP address; the other addresses are host:port with an IP address as host.
 // A zero field gets its default, if there is one.
 type Text struct {
@@ -57,6 +61,8 @@
 	RateOvershoot  *float64 `json:"rateOvershoot"`
 	RateSlack      *float64 `json:"rateSlack"`
 	MaxKeepSeconds float64  `json:"keepSecondsMost"`
+	// ServerHoldKilobytes is how much of requests a server may hold for the whole fleet, 0 for any amount.
+	ServerHoldKilobytes *int `json:"serverHoldKilobytes"`
 	// FirstStart says that the whole fleet starts for the first time, so that no other VM can have used any of the teams' rates.
 	FirstStart bool   `json:"firstStart"`
 	LogLevel   string `json:"logLevel"`
@@ -129,6 +135,8 @@
 	check(t.RetryRatio >= 0, "/repeatRatio", "%v is below 0", t.RetryRatio)
 	check(t.RetrySlack >= 0, "/repeatSlack", "%v is below 0", t.RetrySlack)
 	check(*t.RateOvershoot >= 0, "/rateOvershoot", "%v is below 0", *t.RateOvershoot)
+	check(*t.ServerHoldKilobytes >= 0 && *t.ServerHoldKilobytes <= maxServerHoldKilobytes, "/serverHoldKilobytes", "%v is not from 0 to %d",
+		*t.ServerHoldKilobytes, maxServerHoldKilobytes)
 	check(*t.RateSlack >= 0, "/rateSlack", "%v is below 0", *t.RateSlack)
 	_, err := log.ParseLevel(t.LogLevel)
 	check(err == nil, "/logLevel", "%q is not debug, info, warn or error", t.LogLevel)
@@ -166,6 +174,9 @@
 	if t.RateSlack == nil {
 		t.RateSlack = new(defaultRateSlack)
 	}
+	if t.ServerHoldKilobytes == nil {
+		t.ServerHoldKilobytes = new(defaultServerHoldKilobytes)
+	}
 	if t.LogLevel == "" {
 		t.LogLevel = defaultLogLevel
 	}
@@ -236,6 +247,14 @@
 // RateSlack returns how many requests of a team the fleet may admit in addition to that.
 func (s Settings) RateSlack() float64 { return *s.text.RateSlack }
 
+// ServerHold returns how many bytes of requests a server may hold for the whole fleet, 0 for any number.
+func (s Settings) ServerHold() int64 {
+	if s.text.ServerHoldKilobytes == nil {
+		return 0
+	}
+	return int64(*s.text.ServerHoldKilobytes) << 10
+}
+
 // FirstStart reports whether the whole fleet starts for the first time.
 func (s Settings) FirstStart() bool { return s.text.FirstStart }
 
--- a/internal/conf/setup/setup_test.go
+++ b/internal/conf/setup/setup_test.go
@@ -45,6 +45,15 @@
 			t.Errorf("got settings %+v, want the defaults", s)
 		}
 	})
+	t.Run("tells no bound from none named", func(t *testing.T) {
+		for text, want := range map[string]int64{"": 4 << 20, `"serverHoldKilobytes": 0,`: 0, `"serverHoldKilobytes": 7,`: 7 << 10} {
+			s, err := setup.Parse([]byte(strings.Replace(validSettings, `"store"`, text+`"store"`, 1)))
+			if err != nil || s.ServerHold() != want {
+				t.Errorf("%s: %d bytes, error %v, want %d", text, s.ServerHold(), err, want)
+			}
+		}
+		assertFault(t, strings.Replace(validSettings, `"store"`, `"serverHoldKilobytes": -1, "store"`, 1), "/serverHoldKilobytes")
+	})
 	t.Run("names each fault with its line", func(t *testing.T) {
 		text := strings.Replace(validSettings, `"gossipPort": 6`, `"gossipPort": 0`, 1)
 		text = strings.Replace(text, `"127.0.0.1:1"`, `"here:1"`, 1)
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -12,6 +12,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/base/sets"
 	"kumquatreel.example/kumquatreel/internal/conf/setup"
+	"kumquatreel.example/kumquatreel/internal/limit/cargo"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 	"kumquatreel.example/kumquatreel/internal/limit/retry"
 	"kumquatreel.example/kumquatreel/internal/limit/warmup"
@@ -63,6 +64,9 @@
 	part, scale float64
 	// limitedSends counts the requests to servers that name a limit since the last summary.
 	limitedSends pacer.Counts
+	// cargo counts the bytes of requests at each server, serverHold is how many a server may hold for the whole fleet, 0 for any number.
+	cargo      cargo.Meter
+	serverHold int64
 	// serving is the number of VMs that serve clients, including this one.
 	serving int
 	// sentParts counts the parts that were sent, crossDomain those that were sent to servers in other failure domains.
@@ -76,7 +80,7 @@
 	}
 	return &dispatch{
 		domain: s.Domain(), self: s.Name(), rng: rng, roster: roster.New(s.DrainPeriod()), latencies: make(map[ident.Route]*timing.Estimator),
-		configured: make(chan struct{}), warmupLimiter: warmup.New(started),
+		configured: make(chan struct{}), serverHold: s.ServerHold(), warmupLimiter: warmup.New(started),
 		retries: retry.New(retry.Limits{Ratio: s.RetryRatio(), Slack: s.RetrySlack(), Window: s.RetryWindow()}, started),
 	}
 }
@@ -169,6 +173,9 @@
 	failureCost time.Duration
 	// maxWait is the longest wait in a server's queue with which the answer can still be in time.
 	maxWait time.Duration
+	// bytes is the size of the request at a server. chosen holds the servers that count it though no attempt has started yet.
+	bytes  int64
+	chosen []ident.Server
 	// promises holds the servers that keep a token for a part that waits, by service.
 	promises map[ident.Service]ident.Server
 	// skipped counts the servers that were skipped for the request, by reason.
@@ -177,7 +184,8 @@
 	onRetryDenied func(service ident.Service, firsts, retries int, fraction float64)
 }
 
-// Choose implements gather.Chooser.
+// Choose implements gather.Chooser. The request counts at the server that it returns until unload or dropChosen is called, or AllowRetry
+// denies the attempt.
 func (c *chooser) Choose(now time.Time, service ident.Service, exclude []ident.Server, cause gather.Cause) (ident.Server, gather.Capacity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -190,6 +198,8 @@
 	promised := c.redeem(service)
 	for _, members := range [][]*roster.Member{usable, fallback} {
 		if server, ok := c.balancer.Choose(now, c.candidates(now, members, exclude, promised), a, &c.skipped, c.rng); ok {
+			c.cargo.Take(server, c.bytes)
+			c.chosen = append(c.chosen, server)
 			return server, gather.CapacityNow
 		}
 	}
@@ -243,6 +253,10 @@
 	c.mu.Lock()
 	fraction := c.part
 	ok := c.retries.Take(now, service, fraction, cause == gather.CauseLate)
+	if last := len(c.chosen) - 1; !ok && last >= 0 {
+		c.cargo.Release(c.chosen[last], c.bytes)
+		c.chosen = c.chosen[:last]
+	}
 	firsts, retries := c.retries.Counts(now, service)
 	c.mu.Unlock()
 	if !ok && c.onRetryDenied != nil {
@@ -263,6 +277,7 @@
 			Limited:     c.pacer.Delay(now, e.Server, e.Server == promised) > 0,
 			Resting:     c.roster.Resting(now, e.Server),
 			Scarce:      c.pacer.Scarce(now, e.Server),
+			Loaded:      !c.cargo.MayTake(e.Server, c.bytes, cargo.Share(c.serverHold, c.serving)),
 			MaxInFlight: c.maxConnections(e.Service) + maxWaiters, Excluded: slices.Contains(exclude, e.Server),
 		}
 		if out[i].Resting && !out[i].Excluded {
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -31,6 +31,8 @@
 	// latency, or lingerLatencyFactor times the typical latency of a part if that is longer.
 	lingerTargetFactor  = 1.0
 	lingerLatencyFactor = 4.0
+	// serverHeadBytes is about the size of the headers that depend on the server.
+	serverHeadBytes = 160
 )
 
 // request is a client request, or one of its retries by the client, with its deadlines.
@@ -53,6 +55,9 @@
 	soft, hard time.Time
 }
 
+// bytes returns the size of the request at a server.
+func (rq *request) bytes() int64 { return int64(len(rq.head) + serverHeadBytes + len(rq.body)) }
+
 // outcome is the result of a request.
 type outcome struct {
 	reason     gather.Reason
@@ -105,6 +110,7 @@
 		edge: e, rq: rq, state: gather.New(spec), typical: typical, late: late,
 		chooser: &chooser{
 			dispatch: e.dispatch, typical: typical, failureCost: rq.soft.Sub(rq.arrived), maxWait: maxWait,
+			bytes: rq.bytes(),
 			onRetryDenied: func(s ident.Service, firsts, retries int, fraction float64) {
 				e.log.Info(componentRequest, "second attempt denied by the retry budget", "id", rq.id, "service", s,
 					"first", firsts, "repeats", retries, "part", fraction)
@@ -174,6 +180,7 @@
 const resultsPerPart = 8
 
 func (j *job) finish() outcome {
+	j.chooser.dropChosen()
 	// Attempts that have not been written to a server are cancelled, so that they count as not run.
 	for _, s := range j.sends {
 		if s.permit.Revoke() {
@@ -211,6 +218,7 @@
 			j.edge.log.Info(componentRequest, msg, "id", j.rq.id, "service", s.Service, "server", s.Server, "attempt", s.Attempt,
 				"cause", s.Cause.String(), "afterMs", ms(s.SinceFirst), "usualMs", ms(j.typical), "lateMs", ms(j.late))
 		}
+		j.chooser.started(s.Server)
 		permit := &link.Permit{}
 		j.sends = append(j.sends, sentAttempt{s, permit})
 		j.running.Add(1)
@@ -260,6 +268,7 @@
 		}
 		j.results <- attemptResult{s, res}
 	}()
+	defer e.dispatch.unload(s.Server, j.rq.bytes())
 	began := time.Now()
 	sent, ok := e.dispatch.begin(began, s, j.typical)
 	if !ok {
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -255,7 +255,7 @@
 func (o outcome) details() []any {
 	return []any{
 		"sends", o.sends, "refused", o.refused, "passedCold", o.skipped.Cold, "passedFull", o.skipped.Full, "passedSlow", o.skipped.Slow,
-		"passedFailing", o.skipped.Failing, "passedLimited", o.skipped.Limited, "passedResting", o.skipped.Resting, "passedDown", o.skipped.Down,
+		"passedFailing", o.skipped.Failing, "passedLimited", o.skipped.Limited, "passedResting", o.skipped.Resting, "passedDown", o.skipped.Down, "passedLoaded", o.skipped.Loaded,
 	}
 }
 
--- a/internal/tier/place/choose.go
+++ b/internal/tier/place/choose.go
@@ -40,12 +40,13 @@
 	// Cold servers have reached their warm-up rate, Full ones have no free connection, Slow ones have too long a queue, Failing ones fail
 	// too often for the retry budget, Limited ones name a limit that allows no further request, Resting ones want no requests for a time, and
 	// Down ones are in backoff because they did not answer or could not be reached.
-	Cold, Full, Slow, Failing, Limited, Resting, Down int
+	// Loaded ones hold too many bytes of requests.
+	Cold, Full, Slow, Failing, Limited, Resting, Down, Loaded int
 }
 
 // AtCapacity returns the number of servers that were skipped for lack of capacity, which may have some soon. Limited and
 // resting servers are not counted: it is known when they have some.
-func (s Skipped) AtCapacity() int { return s.Cold + s.Full + s.Slow + s.Failing }
+func (s Skipped) AtCapacity() int { return s.Cold + s.Full + s.Slow + s.Failing + s.Loaded }
 
 // MaxWait returns the longest time that a request may wait in a server's queue if its answer is due after the given time. It is longer
 // for requests of the highest priority.
@@ -82,6 +83,8 @@
 			skipped.Limited++
 		case cand.MaxInFlight > 0 && b.InFlight(cand.Server) >= cand.MaxInFlight:
 			skipped.Full++
+		case cand.Loaded:
+			skipped.Loaded++
 		case b.QueueDelay(now, cand, a.Typical) > maxWait:
 			skipped.Slow++
 		case failing.Has(cand.Server):
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -61,6 +61,8 @@
 	Limited, Scarce bool
 	// Resting is true while the server wants no requests.
 	Resting bool
+	// Loaded is true while the server holds too many bytes of the VM's requests for this one.
+	Loaded bool
 	// MaxInFlight is how many requests the VM may have in flight to the server, 0 for any number.
 	MaxInFlight int
 	// Excluded is true if the server must not get this request, since it has had it already.
