roster, edge: an attempt ends once its server's next start is published

Cause: a request that may run once waited its whole time at a server that had crashed without a reset, though the store told of its next start meanwhile. Change: Roster.Ended says which start has certainly ended: a later one at the same address, and the one before neither left nor lost its entry. The attempts in flight to it end as lost: 502, never a retry; a safe request may go elsewhere.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -67,6 +67,8 @@
 	// cargo counts the bytes of requests at each server, serverHold is how many a server may hold for the whole fleet, 0 for any number.
 	cargo      cargo.Meter
 	serverHold int64
+	// flights holds the attempts in flight by server.
+	flights map[ident.Server][]*flight
 	// serving is the number of VMs that serve clients, including this one.
 	serving int
 	// sentParts counts the parts that were sent, crossDomain those that were sent to servers in other failure domains.
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -322,6 +322,9 @@
 		e.applyTable(now, table.New(ev.Text), revision, from)
 	case source.ServerPublished:
 		d.mu.Lock()
+		if start, ended := d.roster.Ended(ev.Entry); ended {
+			d.endStart(ev.Entry.Server, start)
+		}
 		fresh := d.roster.Update(now, ev.Entry)
 		if fresh {
 			d.balancer.Forget(ev.Entry.Server)
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -275,12 +275,20 @@
 		res = link.Result{Verdict: gather.VerdictUnsent}
 		return
 	}
-	res = e.exchange(j.attemptsCtx, link.Call{
+	ctx, end := e.dispatch.follow(j.attemptsCtx, sent)
+	res = e.exchange(ctx, link.Call{
 		Target: sent.target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
 		Deadline: j.expires(), MaxConnections: sent.connections, Permit: permit, RunOnce: j.rq.route.Kind() != table.KindIdempotent,
 		Allowed: func() bool { return e.dispatch.mayReceive(time.Now(), sent) },
 	})
+	gone := lostWithServer(ctx, &res)
+	end()
 	now := time.Now()
+	if gone {
+		e.dispatch.cancelled(sent.handle)
+		e.logAttempt(j.rq, s, res, now.Sub(began))
+		return
+	}
 	// An answer that has arrived counts, even if the client has left: the server may have said something of itself.
 	if res.Answer == nil && (j.attemptsCtx.Err() != nil || res.Revoked) {
 		e.dispatch.cancelled(sent.handle)
--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -118,6 +118,21 @@
 	return isNew
 }
 
+// Ended returns the start of a server that has certainly ended if the server publishes an entry, and whether there is one: a later start at the
+// same address, while the server before neither left nor let its entry go. It must be asked before Update.
+//
+// Load pattern: a server crashes without closing its connections and starts again while requests wait for it.
+func (r *Roster) Ended(e Entry) (Start, bool) {
+	old := r.members[e.Server]
+	if old == nil || old.Leaving() || e.Started <= old.entry.Started || e.Address != old.entry.Address {
+		return Start{}, false
+	}
+	if st := r.statements[e.Server]; st != nil && (!st.leavingSince.IsZero() || st.othersLeaving) {
+		return Start{}, false
+	}
+	return old.entry.Start(), true
+}
+
 // Remove handles the removal of an entry. A server that has not announced that it leaves is kept as a fallback for a while,
 // since its entry may have expired only because the store was unavailable.
 func (r *Roster) Remove(now time.Time, s ident.Server) {
--- a/internal/tier/roster/roster_test.go
+++ b/internal/tier/roster/roster_test.go
@@ -185,3 +185,36 @@
 		}
 	})
 }
+
+func TestEnded(t *testing.T) {
+	next := entry("a")
+	next.Started = entry("a").Started + 1
+	change := func(f func(*roster.Entry)) roster.Entry {
+		e := next
+		f(&e)
+		return e
+	}
+	for name, tc := range map[string]struct {
+		before func(r *roster.Roster)
+		said   roster.Entry
+		want   bool
+	}{
+		"by a later start":                  {func(*roster.Roster) {}, next, true},
+		"not by the same start":             {func(*roster.Roster) {}, entry("a"), false},
+		"not by an earlier start":           {func(*roster.Roster) {}, change(func(e *roster.Entry) { e.Started = entry("a").Started - 1 }), false},
+		"not by a start at another address": {func(*roster.Roster) {}, change(func(e *roster.Entry) { e.Address = "elsewhere" }), false},
+		"not by a start of another server":  {func(*roster.Roster) {}, change(func(e *roster.Entry) { e.Server = "b" }), false},
+		"not after it was leaving":          {func(r *roster.Roster) { leave(r, start, "a") }, next, false},
+		"not after it said that it leaves":  {func(r *roster.Roster) { r.HearLeaving(start, "a", entry("a").Start()) }, next, false},
+		"not after its entry was removed":   {func(r *roster.Roster) { r.Remove(start, "a") }, next, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New(drain)
+			r.Update(start, entry("a"))
+			tc.before(r)
+			if got, ended := r.Ended(tc.said); ended != tc.want || ended && got != entry("a").Start() {
+				t.Errorf("start %v ended: %v, want %v", got, ended, tc.want)
+			}
+		})
+	}
+}
