--- a/internal/tier/place/choose.go
+++ b/internal/tier/place/choose.go
@@ -59,6 +59,8 @@
 	ReasonLimited
 	// ReasonFull means that no connection to the server is free.
 	ReasonFull
+	// ReasonLoaded means that the server holds too many bytes of requests.
+	ReasonLoaded
 	// ReasonSlow means that the wait in the server's queue is too long.
 	ReasonSlow
 	// ReasonFailing means that the server fails too often for the retry budget that is left.
@@ -80,7 +82,8 @@
 	// Cold servers have reached their warm-up rate, Full ones have no free connection, Slow ones have too long a queue, Failing ones fail
 	// too often for the retry budget, Limited ones name a limit that allows no further request, Resting ones want no requests for a time, and
 	// Down ones are in backoff because they did not answer or could not be reached.
-	Cold, Full, Slow, Failing, Limited, Resting, Down int
+	// Loaded ones hold too many bytes of requests.
+	Cold, Full, Slow, Failing, Limited, Resting, Down, Loaded int
 }
 
 // count counts a server that is passed over for a reason that is known before the choice.
@@ -94,6 +97,8 @@
 		s.Limited++
 	case ReasonFull:
 		s.Full++
+	case ReasonLoaded:
+		s.Loaded++
 	case ReasonSlow:
 		s.Slow++
 	case ReasonFailing:
@@ -104,7 +109,7 @@
 
 // AtCapacity returns the number of servers that were skipped for lack of capacity, which may have some soon. Limited and
 // resting servers are not counted: it is known when they have some.
-func (s Skipped) AtCapacity() int { return s.Cold + s.Full + s.Slow + s.Failing }
+func (s Skipped) AtCapacity() int { return s.Cold + s.Full + s.Slow + s.Failing + s.Loaded }
 
 // MaxWait returns the longest time that a request may wait in a server's queue if its answer is due after the given time. It is longer
 // for requests of the highest priority. urgentTarget is the shortest target latency of the more urgent requests to the same servers, 0 if
@@ -166,6 +171,8 @@
 		return ReasonLimited
 	case cand.MaxInFlight > 0 && b.InFlight(cand.Server) >= cand.MaxInFlight:
 		return ReasonFull
+	case cand.Loaded:
+		return ReasonLoaded
 	case b.QueueDelay(now, cand, typical) > maxWait:
 		return ReasonSlow
 	case failing.Has(cand.Server):
