--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -31,6 +31,8 @@
 	// latency, or lingerLatencyFactor times the typical latency of a part if that is longer.
 	lingerTargetFactor  = 1.0
 	lingerLatencyFactor = 4.0
+	// serverHeadBytes is about the size of the headers that depend on the server.
+	serverHeadBytes = 160
 )
 
 // request is a client request, or one of its retries by the client, with its deadlines.
@@ -53,6 +55,9 @@
 	soft, hard time.Time
 }
 
+// bytes returns the size of the request at a server.
+func (rq *request) bytes() int64 { return int64(len(rq.head) + serverHeadBytes + len(rq.body)) }
+
 // outcome is the result of a request.
 type outcome struct {
 	reason     gather.Reason
@@ -107,6 +112,7 @@
 	due := rq.soft.Sub(rq.arrived)
 	return &chooser{
 		dispatch: e.dispatch, typical: spec.TypicalLatency, failureCost: due, maxWait: e.dispatch.maxWait(rq.route, rq.rank, due),
+		bytes: rq.bytes(),
 		onRetryDenied: func(s ident.Service, firsts, retries int, fraction float64) {
 			e.log.Info(componentRequest, "second attempt denied by the retry budget", "id", rq.id, "service", s,
 				"first", firsts, "repeats", retries, "part", fraction)
@@ -183,6 +189,7 @@
 const resultsPerPart = 8
 
 func (j *job) finish() outcome {
+	j.chooser.dropChosen()
 	// Attempts that have not been written to a server are cancelled, so that they count as not run.
 	for _, s := range j.sends {
 		if s.permit.Revoke() {
@@ -220,6 +227,7 @@
 			j.edge.log.Info(componentRequest, msg, "id", j.rq.id, "service", s.Service, "server", s.Server, "attempt", s.Attempt,
 				"cause", s.Cause.String(), "afterMs", ms(s.SinceFirst), "usualMs", ms(j.typical), "lateMs", ms(j.late))
 		}
+		j.chooser.started(s.Server)
 		permit := &link.Permit{}
 		j.sends = append(j.sends, sentAttempt{s, permit})
 		j.running.Add(1)
@@ -269,18 +277,27 @@
 		}
 		j.results <- attemptResult{s, res}
 	}()
+	defer e.dispatch.unload(s.Server, j.rq.bytes())
 	began := time.Now()
 	sent, ok := e.dispatch.begin(began, s, j.typical)
 	if !ok {
 		res = link.Result{Verdict: gather.VerdictUnsent}
 		return
 	}
-	res = e.exchange(j.attemptsCtx, link.Call{
+	ctx, end := e.dispatch.follow(j.attemptsCtx, sent)
+	res = e.exchange(ctx, link.Call{
 		Target: sent.target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
 		Deadline: j.expires(), MaxConnections: sent.connections, Permit: permit, RunOnce: j.rq.route.Kind() != table.KindIdempotent,
 		Allowed: func() bool { return e.dispatch.mayReceive(time.Now(), sent) },
 	})
+	gone := lostWithServer(ctx, &res)
+	end()
 	now := time.Now()
+	if gone {
+		e.dispatch.cancelled(sent.handle)
+		e.logAttempt(j.rq, s, res, now.Sub(began))
+		return
+	}
 	// An answer that has arrived counts, even if the client has left: the server may have said something of itself.
 	if res.Answer == nil && (j.attemptsCtx.Err() != nil || res.Revoked) {
 		e.dispatch.cancelled(sent.handle)
--- a/internal/tier/place/enums.go
+++ b/internal/tier/place/enums.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "noneexcludedrestingcoldlimitedfullslowfailingdown"
+const _ReasonName = "noneexcludedrestingcoldlimitedfullloadedslowfailingdown"
 
-var _ReasonIndex = [...]uint8{0, 4, 12, 19, 23, 30, 34, 38, 45, 49}
+var _ReasonIndex = [...]uint8{0, 4, 12, 19, 23, 30, 34, 40, 44, 51, 55}
 
-const _ReasonLowerName = "noneexcludedrestingcoldlimitedfullslowfailingdown"
+const _ReasonLowerName = "noneexcludedrestingcoldlimitedfullloadedslowfailingdown"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -30,12 +30,13 @@
 	_ = x[ReasonCold-(3)]
 	_ = x[ReasonLimited-(4)]
 	_ = x[ReasonFull-(5)]
-	_ = x[ReasonSlow-(6)]
-	_ = x[ReasonFailing-(7)]
-	_ = x[ReasonDown-(8)]
+	_ = x[ReasonLoaded-(6)]
+	_ = x[ReasonSlow-(7)]
+	_ = x[ReasonFailing-(8)]
+	_ = x[ReasonDown-(9)]
 }
 
-var _ReasonValues = []Reason{ReasonNone, ReasonExcluded, ReasonResting, ReasonCold, ReasonLimited, ReasonFull, ReasonSlow, ReasonFailing, ReasonDown}
+var _ReasonValues = []Reason{ReasonNone, ReasonExcluded, ReasonResting, ReasonCold, ReasonLimited, ReasonFull, ReasonLoaded, ReasonSlow, ReasonFailing, ReasonDown}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:4]:   ReasonNone,
@@ -44,9 +45,10 @@
 	_ReasonName[19:23]: ReasonCold,
 	_ReasonName[23:30]: ReasonLimited,
 	_ReasonName[30:34]: ReasonFull,
-	_ReasonName[34:38]: ReasonSlow,
-	_ReasonName[38:45]: ReasonFailing,
-	_ReasonName[45:49]: ReasonDown,
+	_ReasonName[34:40]: ReasonLoaded,
+	_ReasonName[40:44]: ReasonSlow,
+	_ReasonName[44:51]: ReasonFailing,
+	_ReasonName[51:55]: ReasonDown,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -56,9 +58,10 @@
 	_ReasonLowerName[19:23]: ReasonCold,
 	_ReasonLowerName[23:30]: ReasonLimited,
 	_ReasonLowerName[30:34]: ReasonFull,
-	_ReasonLowerName[34:38]: ReasonSlow,
-	_ReasonLowerName[38:45]: ReasonFailing,
-	_ReasonLowerName[45:49]: ReasonDown,
+	_ReasonLowerName[34:40]: ReasonLoaded,
+	_ReasonLowerName[40:44]: ReasonSlow,
+	_ReasonLowerName[44:51]: ReasonFailing,
+	_ReasonLowerName[51:55]: ReasonDown,
 }
 
 var _ReasonNames = []string{
@@ -68,9 +71,10 @@
 	_ReasonName[19:23],
 	_ReasonName[23:30],
 	_ReasonName[30:34],
-	_ReasonName[34:38],
-	_ReasonName[38:45],
-	_ReasonName[45:49],
+	_ReasonName[34:40],
+	_ReasonName[40:44],
+	_ReasonName[44:51],
+	_ReasonName[51:55],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
