place: the slow server of a test answers as late as its pace says

Cause: it answered in its usual time at a pace of three, so it counted as quicker than usual once the pace was forgotten. Change: the answer takes three times as long; the bounds stay. Measured: TestPace passes.

--- a/internal/tier/place/news_test.go
+++ b/internal/tier/place/news_test.go
@@ -32,8 +32,8 @@
 	slow := header.Load{Running: 1, Slots: 2, Pace: 3}
 	t.Run("keeps requests away for a while", func(t *testing.T) {
 		b := newEven()
-		tell(b, start, "a", slow)
-		assertPicks(t, b, start.Add(typical), pair(), 0, 0)
+		b.Answered(start.Add(3*typical), b.Sent(start, "a", typical), &slow)
+		assertPicks(t, b, start.Add(3*typical), pair(), 0, 0)
 		assertPicks(t, b, start.Add(3*time.Second), pair(), 400, 600)
 	})
 	t.Run("is not used unless that is set", func(t *testing.T) {
