header: ignore a load with an absurd number of requests

Cause: a server that tells 2^63-1 running requests got all of them: the expected latency overflows to a negative one, which is the lowest. Change: counts above 2^20 make the report malformed.

--- a/internal/tier/header/header.go
+++ b/internal/tier/header/header.go
@@ -78,6 +78,8 @@
 const (
 	// usualPace is the pace of a server whose work takes as long as usual.
 	usualPace = 100
+	// maxRequests is the largest number of requests or slots that is believed. Larger ones would overflow the expected latency.
+	maxRequests = 1 << 20
 	// maxPace is the largest pace that is believed.
 	maxPace = 100 * usualPace
 )
@@ -92,7 +94,7 @@
 }
 
 // ParseLoad parses a load of the form "running,waiting,slots" or "running,waiting,slots,pace". It returns false if the text is malformed or a
-// count is negative. A pace that cannot be read counts as not told.
+// count is negative or absurd. A pace that cannot be read counts as not told.
 func ParseLoad(text string) (Load, bool) {
 	running, rest, ok1 := strings.Cut(text, ",")
 	waiting, rest, ok2 := strings.Cut(rest, ",")
@@ -106,7 +108,7 @@
 		dst  *int
 	}{{running, &l.Running}, {waiting, &l.Waiting}, {slots, &l.Slots}} {
 		n, err := strconv.Atoi(strings.TrimSpace(f.text))
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > maxRequests {
 			return Load{}, false
 		}
 		*f.dst = n
--- a/internal/tier/header/header_test.go
+++ b/internal/tier/header/header_test.go
@@ -31,6 +31,8 @@
 		{"3,0", header.Load{}, false},
 		{"3,-1,8", header.Load{}, false},
 		{"3,x,8", header.Load{}, false},
+		{"9223372036854775807,1,8", header.Load{}, false},
+		{"3,1048577,8", header.Load{}, false},
 	} {
 		t.Run(c.text, func(t *testing.T) {
 			if got, ok := header.ParseLoad(c.text); got != c.want || ok != c.ok {
