--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -16,6 +16,8 @@
 const (
 	defaultCPUShare              = 1.0
 	defaultOpenFiles             = 1024
+	defaultMemoryMegabytes       = 512
+	defaultMaxHeadLines          = 256
 	defaultDrainMillis           = 3000
 	defaultServerHeartbeatMillis = 1200
 	defaultGraceSeconds          = 6.0
@@ -45,7 +47,11 @@
 	Store        string       `json:"store"`
 	CPUShare     float64      `json:"cpuShare"`
 	MaxOpenFiles int          `json:"maxOpenFiles"`
-	DrainMillis  int          `json:"drainMillis"`
+	// MemoryMegabytes is the memory of the VM in MiB.
+	MemoryMegabytes int `json:"memoryMegabytes"`
+	// MaxHeadLines is the number of lines that the head of a request may have.
+	MaxHeadLines int `json:"maxHeadLines"`
+	DrainMillis  int `json:"drainMillis"`
 	// ServerHeartbeatMillis is the interval at which servers renew their entries in the store.
 	ServerHeartbeatMillis int     `json:"serverHeartbeatMillis"`
 	GraceSeconds          float64 `json:"graceSeconds"`
@@ -118,6 +124,8 @@
 	}{
 		{"/cpuShare", t.CPUShare},
 		{"/maxOpenFiles", float64(t.MaxOpenFiles)},
+		{"/memoryMegabytes", float64(t.MemoryMegabytes)},
+		{"/maxHeadLines", float64(t.MaxHeadLines)},
 		{"/drainMillis", float64(t.DrainMillis)},
 		{"/serverHeartbeatMillis", float64(t.ServerHeartbeatMillis)},
 		{"/graceSeconds", t.GraceSeconds},
@@ -153,6 +161,8 @@
 	}
 	number(&t.CPUShare, defaultCPUShare)
 	integer(&t.MaxOpenFiles, defaultOpenFiles)
+	integer(&t.MemoryMegabytes, defaultMemoryMegabytes)
+	integer(&t.MaxHeadLines, defaultMaxHeadLines)
 	integer(&t.DrainMillis, defaultDrainMillis)
 	integer(&t.ServerHeartbeatMillis, defaultServerHeartbeatMillis)
 	number(&t.GraceSeconds, defaultGraceSeconds)
@@ -213,6 +223,12 @@
 // MaxOpenFiles returns the maximum number of open file descriptors of the process.
 func (s Settings) MaxOpenFiles() int { return s.text.MaxOpenFiles }
 
+// MemoryBytes returns the memory of the VM, which the process must stay within.
+func (s Settings) MemoryBytes() int64 { return int64(s.text.MemoryMegabytes) << 20 }
+
+// MaxHeadLines returns the number of lines that the head of a request may have.
+func (s Settings) MaxHeadLines() int { return s.text.MaxHeadLines }
+
 // DrainPeriod returns how long a backend server still serves requests after it has reported that it is draining.
 func (s Settings) DrainPeriod() time.Duration {
 	return time.Duration(s.text.DrainMillis) * time.Millisecond
