--- a/internal/base/drain/drain.go
+++ b/internal/base/drain/drain.go
@@ -46,7 +46,7 @@
 }
 
 // Serve starts to serve on a listener, wrapped by wrap if that is not nil. It returns the server and a function that closes it at
-// once, which aborts requests in progress. It replaces srv.ConnState.
+// once, which aborts requests in progress. It calls srv.ConnState after its own.
 func Serve(l net.Listener, wrap func(net.Listener) net.Listener, srv *http.Server) (*Server, func()) {
 	s := &Server{http: srv, listener: l, stopped: make(chan struct{}), conns: make(map[net.Conn]connState)}
 	if socket, ok := l.(syscall.Conn); ok {
@@ -55,7 +55,13 @@
 	if wrap != nil {
 		s.listener = wrap(l)
 	}
-	srv.ConnState = s.recordState
+	next := srv.ConnState
+	srv.ConnState = func(c net.Conn, st http.ConnState) {
+		s.recordState(c, st)
+		if next != nil {
+			next(c, st)
+		}
+	}
 	go func() {
 		s.err = srv.Serve(s.listener)
 		close(s.stopped)
