edge, link: what clients make a VM hold is bounded, and those that hold most for nothing give way

Bodies were read into a buffer that grows by copying, refusals and the other listeners had no time for writing, each of five listeners might take 0.4 of the descriptors, and answers took 32 MB on VMs of any size.

Change: all listeners share one budget of a quarter of memoryMegabytes. Bodies are read in pieces that are taken from it and kept once; 503 without room, 408 if a body gave way, both before anything is sent. Clients have 40 % of the descriptors, the other listeners 10 % together. Answers take a sixth of the memory at most, 32 MB as before from 192 MB on. Each answer has a time for writing.

--- a/cmd/kumquatreel/edge.go
+++ b/cmd/kumquatreel/edge.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/charmbracelet/log"
@@ -15,6 +16,9 @@
 	"kumquatreel.example/kumquatreel/platform"
 )
 
+// programBytes is what the program takes beside the memory that the runtime counts.
+const programBytes = 16 << 20
+
 type edgeCommand struct {
 	Settings string `long:"settings" env:"KUMQUATREEL_CONFIG" required:"yes" description:"file with the VM's settings"`
 }
@@ -30,6 +34,8 @@
 	if err != nil {
 		return errors.Errorf("edge: log level: %w", err)
 	}
+	// The runtime collects harder before the memory of the VM is used up. It doesn't count the pages of the program itself.
+	debug.SetMemoryLimit(max(settings.MemoryBytes()/2, min(settings.MemoryBytes()/5*4, settings.MemoryBytes()-programBytes)))
 	logger, closeLog := logs.New(os.Stdout, level)
 	defer closeLog()
 	store, closeStore := platform.NewStore(settings.StoreAddress())
--- a/internal/tier/edge/admit.go
+++ b/internal/tier/edge/admit.go
@@ -39,6 +39,9 @@
 		return rq, rejected
 	}
 	rq.body = body
+	if rejected := holdQuery(r, rq.route); rejected != nil {
+		return rq, rejected
+	}
 	rq.rtt = clientRTT(r)
 	e.setDeadlines(rq, r)
 	if !time.Now().Before(rq.hard) {
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/netutil"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/drain"
@@ -20,6 +19,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/worker"
 	"kumquatreel.example/kumquatreel/internal/conf/setup"
 	"kumquatreel.example/kumquatreel/internal/limit/escrow"
+	"kumquatreel.example/kumquatreel/internal/limit/hold"
 	"kumquatreel.example/kumquatreel/internal/limit/quota"
 	"kumquatreel.example/kumquatreel/internal/tier/delay"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
@@ -28,6 +28,7 @@
 	"kumquatreel.example/kumquatreel/internal/tier/mirror"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
 	"kumquatreel.example/kumquatreel/internal/tier/source"
+	"kumquatreel.example/kumquatreel/internal/wire/guard"
 )
 
 const (
@@ -45,13 +46,6 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is how long an idle client connection stays open. Published limits are shorter.
 	idleTimeout = 2 * time.Minute
-	// clientConnFraction is the fraction of the file descriptors that connections to one listener may use. Further
-	// connections wait to be accepted.
-	clientConnFraction = 0.4
-	// maxHeadBytes bounds the request line and the headers of a request. Clients stay within published limits, which are lower.
-	maxHeadBytes = 64 << 10
-	// minConnections is the lower bound of the connection limit of a listener.
-	minConnections = 64
 	// minReadyDelay is how long a new VM receives heartbeats before it becomes ready.
 	minReadyDelay = 300 * time.Millisecond
 	// maxReadyDelay is the time after the start from which a VM with a configuration becomes ready even if it has not
@@ -85,6 +79,9 @@
 
 	dispatch *dispatch
 	links    *link.Transport
+	// keeper bounds what clients make the VM hold.
+	keeper *guard.Keeper
+	closed closedCounts
 	// workers run the attempts.
 	workers *worker.Pool
 	fleet   *fleet
@@ -155,7 +152,10 @@
 	e.mirror.Rules = source.Rules(opts.Decode)
 	links, closeLinks := link.New(opts.Names)
 	workers, closeWorkers := worker.New(maxIdleWorkers)
+	links.BoundMemory(settings.MemoryBytes())
 	e.links, e.workers = links, workers
+	e.keeper = guard.NewKeeper(holdLimits(settings), e.connectionClosed)
+	e.metrics.watchHeld(e.keeper.Held)
 	e.metrics.watchHeldBytes(links.HeldBytes)
 	e.cleanups = append(e.cleanups, closeLinks, closeWorkers)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -187,19 +187,20 @@
 	metrics.HandleFunc("GET "+beliefsPath, e.serveBeliefs)
 	for _, l := range []struct {
 		address string
+		door    hold.Door
 		handler http.Handler
 	}{
-		{s.ReadyAddress(), ready},
-		{s.DirectoryAddress(), directory},
-		{s.PeerAddress(), control},
-		{s.MetricsAddress(), metrics},
+		{s.ReadyAddress(), doorReady, ready},
+		{s.DirectoryAddress(), doorDirectory, directory},
+		{s.PeerAddress(), doorPeers, control},
+		{s.MetricsAddress(), doorMetrics, metrics},
 	} {
-		if _, err := e.serve(ctx, l.address, l.handler); err != nil {
+		if _, err := e.serve(ctx, l.address, l.door, sideWriteTimeout, side(l.handler)); err != nil {
 			return err
 		}
 	}
 	// Request paths are forwarded unchanged, and http.ServeMux would clean them.
-	if e.clientServer, err = e.serve(ctx, s.ClientAddress(), http.HandlerFunc(e.serveRequest)); err != nil {
+	if e.clientServer, err = e.serve(ctx, s.ClientAddress(), doorClients, 0, http.HandlerFunc(e.serveRequest)); err != nil {
 		return err
 	}
 	go e.receiveHeartbeats()
@@ -212,16 +213,19 @@
 	return nil
 }
 
-// serve starts an HTTP server at an address, with a limit on its connections.
-func (e *Edge) serve(ctx context.Context, address string, h http.Handler) (*drain.Server, error) {
+// serve starts an HTTP server at an address, with a limit on its connections. Handlers set the time for writing themselves if writeTimeout is 0.
+func (e *Edge) serve(ctx context.Context, address string, door hold.Door, writeTimeout time.Duration, h http.Handler) (*drain.Server, error) {
 	l, err := listen(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	maxConns := max(minConnections, int(clientConnFraction*float64(e.settings.Load().MaxOpenFiles())))
-	wrap := func(l net.Listener) net.Listener { return netutil.LimitListener(delay.NewListener(l), maxConns) }
+	wrap := func(l net.Listener) net.Listener { return e.wrapListener(delay.NewListener(l), door) }
 	srv, closeServer := drain.Serve(l, wrap, &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes, ConnContext: delay.ConnContext,
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes, WriteTimeout: writeTimeout,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return guard.ConnContext(delay.ConnContext(ctx, c), c)
+		},
+		ConnState: guard.ConnState,
 	})
 	e.cleanups = append(e.cleanups, closeServer)
 	go func() {
@@ -278,6 +282,7 @@
 			e.log.Info(componentTraffic, "traffic", fields...)
 		}
 		e.reportLimited()
+		e.reportClosed()
 		e.reportRests()
 		e.settle(time.Now())
 		if n%summaryRounds == 0 {
--- a/internal/tier/edge/meter.go
+++ b/internal/tier/edge/meter.go
@@ -10,7 +10,9 @@
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/base/sets"
+	"kumquatreel.example/kumquatreel/internal/limit/hold"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
+	"kumquatreel.example/kumquatreel/internal/wire/guard"
 )
 
 // seriesRetention is how long the metrics of a removed route are kept.
@@ -32,6 +34,8 @@
 	// limitedServers is the number of servers that name a limit, limitedSends counts the requests to them.
 	limitedServers prometheus.Gauge
 	limitedSends   *prometheus.CounterVec
+	// closed counts the connections and requests of clients that were refused or closed, by cause.
+	closed *prometheus.CounterVec
 }
 
 func newMeter() *meter {
@@ -67,9 +71,12 @@
 		limitedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kumquatreel_edge_limited_sends_total", Help: "Requests sent to servers that name a request limit.",
 		}, []string{"use"}),
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatreel_edge_callers_refused_total", Help: "Connections and requests of callers that were closed or refused for room or their head.",
+		}, []string{"cause"}),
 	}
 	m.registry.MustRegister(m.latency, m.coverage, m.failed, m.clientsGone, m.version, m.members, m.storeCalls,
-		m.limitedServers, m.limitedSends)
+		m.limitedServers, m.limitedSends, m.closed)
 	return m
 }
 
@@ -80,6 +87,26 @@
 	}, func() float64 { return float64(held()) }))
 }
 
+// watchHeld adds metrics of what callers make the VM hold, by stage.
+func (m *meter) watchHeld(held func(hold.Stage) (int64, int)) {
+	for _, s := range hold.StageValues() {
+		labels := prometheus.Labels{"stage": s.String()}
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "kumquatreel_edge_held_caller_bytes", Help: "Bytes held for callers, by stage of their connection.", ConstLabels: labels,
+		}, func() float64 {
+			bytes, _ := held(s)
+			return float64(bytes)
+		}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "kumquatreel_edge_caller_connections", Help: "Connections of callers, by stage.", ConstLabels: labels,
+		}, func() float64 {
+			_, conns := held(s)
+			return float64(conns)
+		}))
+	}
+}
+
+func (m *meter) connectionClosed(c guard.Cause) { m.closed.WithLabelValues(c.String()).Inc() }
+
 func (m *meter) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -43,7 +43,7 @@
 	method string
 	// head holds the request line and the headers for backend servers.
 	head    []byte
-	body    []byte
+	body    [][]byte
 	arrived time.Time
 	// version is the version of the configuration that admitted the request.
 	version int64
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -14,12 +14,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"kumquatreel.example/kumquatreel/internal/limit/hold"
 	"kumquatreel.example/kumquatreel/internal/tier/admit"
 	"kumquatreel.example/kumquatreel/internal/tier/delay"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
-	"kumquatreel.example/kumquatreel/internal/tier/table"
 	"kumquatreel.example/kumquatreel/internal/tier/topk"
+	"kumquatreel.example/kumquatreel/internal/wire/guard"
 )
 
 // Components that log lines belong to.
@@ -66,6 +67,8 @@
 	retryAfter time.Duration
 	// details are the values that caused the refusal, as keys and values for the log.
 	details []any
+	// ends says that the connection is closed.
+	ends bool
 }
 
 // serveRequest handles one request of a client.
@@ -79,6 +82,10 @@
 	if hasBody(r) {
 		e.setBodyDeadline(w, arrived)
 	}
+	if rejected := e.beginRequest(r); rejected != nil {
+		e.refuse(w, r, &request{id: r.Header.Get(e.names.RequestID), arrived: arrived}, *rejected)
+		return
+	}
 	rq, rejected := e.admit(r, arrived)
 	if rejected != nil {
 		e.refuse(w, r, rq, *rejected)
@@ -97,6 +104,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	e.health.observe(time.Now(), out.enough)
+	if g := guard.FromContext(r.Context()); g != nil {
+		g.Enter(hold.StageAnswering)
+	}
 	e.respond(w, r, rq, out)
 }
 
@@ -115,28 +125,6 @@
 	}
 }
 
-// readBody reads the body of a request, or returns a refusal if it is too large or does not arrive in time.
-func readBody(r *http.Request, published table.Limits) ([]byte, *refusal) {
-	if !hasBody(r) {
-		return nil, nil
-	}
-	limit := published.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, &refusal{status: http.StatusRequestTimeout, text: "the body did not arrive", retryAfter: admit.MinRetryAfter}
-	}
-	if int64(len(body)) > limit {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
-	}
-	return body, nil
-}
-
 // clientRTT returns the round-trip time to the client of a request.
 func clientRTT(r *http.Request) time.Duration {
 	if d, ok := delay.RTT(r.Context()); ok {
@@ -205,7 +193,7 @@
 		b.WriteString(e.names.Team + ": " + string(rq.team) + "\r\n")
 	}
 	if hasBody(r) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(rq.body)) + "\r\n")
+		b.WriteString("Content-Length: " + strconv.Itoa(pieceBytes(rq.body)) + "\r\n")
 	}
 	return b.Bytes()
 }
@@ -323,7 +311,16 @@
 
 // refuse writes and logs a refusal.
 func (e *Edge) refuse(w http.ResponseWriter, r *http.Request, rq *request, ref refusal) {
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		e.log.Warn(componentRequest, "cannot set write deadline of a refusal", "id", rq.id, "error", err.Error())
+	}
+	if g := guard.FromContext(r.Context()); g != nil {
+		g.Enter(hold.StageAnswering)
+	}
 	h := w.Header()
+	if ref.ends {
+		h.Set("Connection", "close")
+	}
 	if rq.id != "" {
 		h[e.names.RequestID] = []string{rq.id}
 	}
--- a/internal/tier/link/budget.go
+++ b/internal/tier/link/budget.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"io"
 	"sync/atomic"
 )
@@ -13,18 +14,27 @@
 	// among them, so that complete answers have room beside bytes without end.
 	maxHeldBytes       = 32 << 20
 	maxIncompleteBytes = 24 << 20
+	// maxHeldPart and maxIncompletePart bound both to a part of the memory of the VM.
+	maxHeldPart, maxIncompletePart = 6, 8
 )
 
 // byteBudget bounds the bytes of the answers on all connections: servers may send bytes without end on many at once, and complete answers wait for
 // other parts and for slow clients. The zero value is ready to use.
 type byteBudget struct {
 	held, incomplete atomic.Int64
+	// maxHeld and maxIncomplete replace the bounds if they are above 0.
+	maxHeld, maxIncomplete int64
 }
 
 // take counts n bytes of an incomplete answer and reports whether all are within the budget.
 func (b *byteBudget) take(n int64) bool {
 	held, incomplete := b.held.Add(n), b.incomplete.Add(n)
-	return held <= maxHeldBytes && incomplete <= maxIncompleteBytes
+	return held <= cmp.Or(b.maxHeld, maxHeldBytes) && incomplete <= cmp.Or(b.maxIncomplete, maxIncompleteBytes)
+}
+
+// bound lowers the bounds to a part of the memory of the VM.
+func (b *byteBudget) bound(memory int64) {
+	b.maxHeld, b.maxIncomplete = min(maxHeldBytes, memory/maxHeldPart), min(maxIncompleteBytes, memory/maxIncompletePart)
 }
 
 // complete records that an answer of n bytes is complete. It is held until it is released.
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -43,7 +43,8 @@
 	Method string
 	// Head is the request line and the headers that do not depend on the server, each ended by CRLF.
 	Head []byte
-	Body []byte
+	// Body holds the pieces of the body.
+	Body [][]byte
 	// RequestID is the ID of the request, which the server returns in its answer.
 	RequestID string
 	// Deadline is when the call ends, and when the server is to stop work on it.
@@ -152,6 +153,9 @@
 	return Result{Verdict: t.classify(answer), Answer: answer, Dialed: dialed}
 }
 
+// BoundMemory bounds the bytes of all answers to a part of the memory of the VM. It is called before the first call.
+func (t *Transport) BoundMemory(bytes int64) { t.memory.bound(bytes) }
+
 // HeldBytes returns the bytes of all answers that have not been released.
 func (t *Transport) HeldBytes() int64 { return t.memory.held.Load() }
 
@@ -197,14 +201,17 @@
 func (t *Transport) exchange(cn *conn, c Call) (answer *Answer, keep, sent bool, err error) {
 	head := t.head(c)
 	written := make(chan error, 1)
-	if len(c.Body) > maxSyncWriteBytes {
+	if bodyBytes(c.Body) > maxSyncWriteBytes {
 		go func() {
-			buffers := net.Buffers{head, c.Body}
+			buffers := append(net.Buffers{head}, c.Body...)
 			_, err := buffers.WriteTo(cn.Conn)
 			written <- err
 		}()
 	} else {
-		n, err := cn.Write(append(head, c.Body...))
+		for _, piece := range c.Body {
+			head = append(head, piece...)
+		}
+		n, err := cn.Write(head)
 		if err != nil {
 			return nil, false, n > 0, errors.Errorf("send request: %w", err)
 		}
@@ -224,7 +231,7 @@
 }
 
 func (t *Transport) head(c Call) []byte {
-	b := make([]byte, 0, len(c.Head)+160+len(c.Body))
+	b := make([]byte, 0, len(c.Head)+160+min(maxSyncWriteBytes, bodyBytes(c.Body)))
 	b = append(b, c.Head...)
 	b = append(b, t.names.RemainingMs...)
 	b = append(b, ": "...)
@@ -236,6 +243,14 @@
 	return append(b, "\r\n\r\n"...)
 }
 
+func bodyBytes(pieces [][]byte) int {
+	n := 0
+	for _, p := range pieces {
+		n += len(p)
+	}
+	return n
+}
+
 // classify returns the verdict on an answer; only a signed answer with a 2xx status counts as answered.
 func (t *Transport) classify(a *Answer) gather.Verdict {
 	switch {
--- a/internal/wire/guard/conn.go
+++ b/internal/wire/guard/conn.go
@@ -41,6 +41,7 @@
 	// then on it isn't known where a head begins, so lines aren't counted.
 	inHead, early bool
 	started       bool
+	limits        HeadLimits
 	line          int
 	lines, bytes  int
 	// after counts the bytes that arrived after the head.
@@ -76,6 +77,9 @@
 		return true
 	}
 	first := !c.started
+	if first {
+		c.limits = c.head()
+	}
 	c.started, c.inHead = true, true
 	cost, within := c.countHead(p)
 	c.mu.Unlock()
@@ -95,7 +99,6 @@
 
 // countHead counts bytes of a head. It returns what they take, and whether the head is within its limits. The caller holds the lock.
 func (c *Conn) countHead(p []byte) (cost int64, within bool) {
-	limits := c.head()
 	if c.early {
 		c.bytes += len(p)
 		return earlyCopies * int64(len(p)), true
@@ -122,7 +125,7 @@
 		}
 	}
 	c.bytes += size
-	return byteCopies*int64(size) + lineBytes*int64(c.lines-lines), c.lines <= limits.Lines && c.bytes <= limits.Bytes
+	return byteCopies*int64(size) + lineBytes*int64(c.lines-lines), c.lines <= c.limits.Lines && c.bytes <= c.limits.Bytes
 }
 
 // Complete says that the head of a request has been read. length is that of its body, below 0 if it isn't known.
