--- a/internal/base/drain/drain.go
+++ b/internal/base/drain/drain.go
@@ -59,7 +59,7 @@
 }
 
 // Serve starts to serve on a listener, wrapped by wrap if that is not nil. It returns the server and a function that closes it at
-// once, which aborts requests in progress. It replaces srv.ConnState.
+// once, which aborts requests in progress. It calls srv.ConnState after its own.
 func Serve(l net.Listener, wrap func(net.Listener) net.Listener, srv *http.Server) (*Server, func()) {
 	s := &Server{http: srv, listener: l, stopped: make(chan struct{}), conns: make(map[net.Conn]connState)}
 	if socket, ok := l.(syscall.Conn); ok {
@@ -68,7 +68,13 @@
 	if wrap != nil {
 		s.listener = wrap(l)
 	}
-	srv.ConnState = s.recordState
+	next := srv.ConnState
+	srv.ConnState = func(c net.Conn, st http.ConnState) {
+		s.recordState(c, st)
+		if next != nil {
+			next(c, st)
+		}
+	}
 	go func() {
 		s.err = srv.Serve(s.listener)
 		close(s.stopped)
--- a/internal/tier/edge/cargo_test.go
+++ b/internal/tier/edge/cargo_test.go
@@ -28,7 +28,7 @@
 func TestCargo(t *testing.T) {
 	t.Run("ends with an attempt", func(t *testing.T) {
 		e, rq := newTestEdge(t, closedAddress(t), closedAddress(t))
-		rq.body = make([]byte, 1<<20)
+		rq.body = [][]byte{make([]byte, 1<<20)}
 		e.run(context.Background(), rq)
 		assertNoCargo(t, e.dispatch)
 	})
--- a/internal/tier/edge/meter.go
+++ b/internal/tier/edge/meter.go
@@ -10,8 +10,10 @@
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/base/sets"
+	"kumquatreel.example/kumquatreel/internal/limit/hold"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 	"kumquatreel.example/kumquatreel/internal/tier/belief"
+	"kumquatreel.example/kumquatreel/internal/wire/guard"
 )
 
 // seriesRetention is how long the metrics of a removed route are kept.
@@ -37,6 +39,8 @@
 	loadReports *prometheus.CounterVec
 	loadAge     *prometheus.HistogramVec
 	busiest     *prometheus.GaugeVec
+	// closed counts the connections and requests of clients that were refused or closed, by cause.
+	closed *prometheus.CounterVec
 }
 
 func newMeter() *meter {
@@ -82,9 +86,12 @@
 		busiest: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "kumquatreel_edge_busiest_over_mean", Help: "Load of the busiest server of a service over the mean one, as told in the last second.",
 		}, []string{"service"}),
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kumquatreel_edge_callers_refused_total", Help: "Connections and requests of callers that were closed or refused for room or their head.",
+		}, []string{"cause"}),
 	}
 	m.registry.MustRegister(m.latency, m.coverage, m.failed, m.clientsGone, m.version, m.members, m.storeCalls,
-		m.limitedServers, m.limitedSends, m.loadReports, m.loadAge, m.busiest)
+		m.limitedServers, m.limitedSends, m.loadReports, m.loadAge, m.busiest, m.closed)
 	return m
 }
 
@@ -95,6 +102,26 @@
 	}, func() float64 { return float64(held()) }))
 }
 
+// watchHeld adds metrics of what callers make the VM hold, by stage.
+func (m *meter) watchHeld(held func(hold.Stage) (int64, int)) {
+	for _, s := range hold.StageValues() {
+		labels := prometheus.Labels{"stage": s.String()}
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "kumquatreel_edge_held_caller_bytes", Help: "Bytes held for callers, by stage of their connection.", ConstLabels: labels,
+		}, func() float64 {
+			bytes, _ := held(s)
+			return float64(bytes)
+		}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "kumquatreel_edge_caller_connections", Help: "Connections of callers, by stage.", ConstLabels: labels,
+		}, func() float64 {
+			_, conns := held(s)
+			return float64(conns)
+		}))
+	}
+}
+
+func (m *meter) connectionClosed(c guard.Cause) { m.closed.WithLabelValues(c.String()).Inc() }
+
 func (m *meter) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -45,7 +45,7 @@
 	method string
 	// head holds the request line and the headers for backend servers.
 	head    []byte
-	body    []byte
+	body    [][]byte
 	arrived time.Time
 	// version is the version of the configuration that admitted the request.
 	version int64
@@ -56,7 +56,9 @@
 }
 
 // bytes returns the size of the request at a server.
-func (rq *request) bytes() int64 { return int64(len(rq.head) + serverHeadBytes + len(rq.body)) }
+func (rq *request) bytes() int64 {
+	return int64(len(rq.head) + serverHeadBytes + link.BodyBytes(rq.body))
+}
 
 // outcome is the result of a request.
 type outcome struct {
--- a/internal/tier/link/endless_test.go
+++ b/internal/tier/link/endless_test.go
@@ -230,7 +230,7 @@
 func TestBodyMemory(t *testing.T) {
 	const calls, bodyBytes = 20, 4 << 20
 	s, tr := newScriptedServer(t, "HTTP/1.1 100 Continue\r\n\r\n"), newTransport(t)
-	body := make([]byte, bodyBytes)
+	body := [][]byte{make([]byte, bodyBytes)}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	var wg sync.WaitGroup
