--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -14,10 +14,11 @@
 
 // Defaults of fields that a settings file omits.
 const (
-	defaultCPUShare              = 1.0
-	defaultOpenFiles             = 1024
-	defaultMemoryMegabytes       = 512
-	defaultMaxHeadLines          = 256
+	defaultCPUShare        = 1.0
+	defaultOpenFiles       = 1024
+	defaultMemoryMegabytes = 512
+	// A line takes three bytes at least, so that a head within 16 KiB never has so many.
+	defaultMaxHeadLines          = 8192
 	defaultDrainMillis           = 3000
 	defaultServerHeartbeatMillis = 1200
 	defaultGraceSeconds          = 6.0
--- a/internal/tier/edge/doors.go
+++ b/internal/tier/edge/doors.go
@@ -30,7 +30,7 @@
 	// minConnections and minSideConnections are the lower bounds.
 	minConnections, minSideConnections = 64, 16
 	// clientMemoryPart is the part of the memory that clients may make the VM hold.
-	clientMemoryPart = 4
+	clientMemoryPart = 5
 	// maxHeadBytes bounds the request line and the headers of a request if no limit is published, headSlackBytes is added to a published one, which
 	// clients may count without the request line.
 	maxHeadBytes, headSlackBytes = 64 << 10, 8 << 10
--- a/internal/tier/place/news.go
+++ b/internal/tier/place/news.go
@@ -18,6 +18,8 @@
 	// minPace and maxPace bound the pace, in percent, in a report of another VM, and maxQueue the number of requests.
 	minPace, maxPace = 1, 10000
 	maxQueue         = 1 << 20
+	// usualPaceSpan is how far the logarithm of a pace is from that of the usual one if the pace is not worth a report.
+	usualPaceSpan = 0.3
 )
 
 // Report is what a VM knows of the load of a server, for other VMs.
@@ -123,7 +125,7 @@
 			n = News{At: stalledAt}
 			r.Stalled, r.use = true, math.Inf(1)
 		}
-		if n.At.IsZero() || now.Sub(n.At) > maxNewsAge {
+		if n.At.IsZero() || now.Sub(n.At) > maxNewsAge || !r.Stalled && isUsual(n.Load) {
 			continue
 		}
 		r.AgeMs = (now.Sub(n.At) + delay).Milliseconds()
@@ -145,6 +147,12 @@
 	return out
 }
 
+// isUsual reports whether a load is what other VMs assume of a server that they know nothing of: one request at most, and work that takes about as
+// long as usual.
+func isUsual(l header.Load) bool {
+	return l.Running+l.Waiting <= 1 && (l.Pace <= 0 || math.Abs(math.Log(l.Pace)) < usualPaceSpan)
+}
+
 // ApplyReports applies what another VM knows of servers, where it is fresher than what is known. Reports of servers that are not known are
 // ignored.
 func (b *Balancer) ApplyReports(now time.Time, reports map[ident.Server]Report, known func(ident.Server) bool) {
