edge: more of the memory is left for what the runtime does not count

Cause: of 64 MiB, the crowd at all addresses peaked at 59 to 61: the runtime's limit of 48 and the pages of the program. Change: 20 MiB are left for these instead of 16.

--- a/cmd/kumquatreel/edge.go
+++ b/cmd/kumquatreel/edge.go
@@ -17,7 +17,7 @@
 )
 
 // programBytes is what the program takes beside the memory that the runtime counts.
-const programBytes = 16 << 20
+const programBytes = 20 << 20
 
 type edgeCommand struct {
 	Settings string `long:"settings" env:"KUMQUATREEL_CONFIG" required:"yes" description:"file with the VM's settings"`
