edge: more connections at the doors of VMs and of the directory

Cause: of hundreds of VMs a third fetch a change from one watcher at the same time, and 2 % of 4,100 descriptors are 82 connections; one more would have closed another. Change: 8 % each for VMs and the directory, 58 % of the descriptors for all doors together.

--- a/internal/tier/edge/doors.go
+++ b/internal/tier/edge/doors.go
@@ -43,8 +43,8 @@
 )
 
 // connPercent is the percentage of the file descriptors that connections at each door may use. One connection more takes the place of another. All
-// clients ask the directory; the rest is for connections to servers.
-var connPercent = [numDoors]int{doorClients: 40, doorDirectory: 6, doorPeers: 2, doorReady: 1, doorMetrics: 1}
+// clients ask the directory, and many VMs fetch a change from one at the same time; the rest is for connections to servers.
+var connPercent = [numDoors]int{doorClients: 40, doorDirectory: 8, doorPeers: 8, doorReady: 1, doorMetrics: 1}
 
 // holdLimits returns the limits of what clients make a VM hold.
 func holdLimits(s setup.Settings) hold.Limits {
