--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -181,8 +181,9 @@
 	typical time.Duration
 	// failureCost is the time that a failed attempt costs: the time in which the answer is due.
 	failureCost time.Duration
-	// maxWait is the longest wait in a server's queue with which the answer can still be in time.
-	maxWait time.Duration
+	// maxWait is the longest wait in a server's queue with which the answer can still be in time and more urgent ones have room. tokenWait is
+	// the same for a part that waits at the VM, where it takes no room.
+	maxWait, tokenWait time.Duration
 	// bytes is the size of the request at a server. chosen holds the servers that count it though no attempt has started yet.
 	bytes  int64
 	chosen []ident.Server
@@ -241,7 +242,7 @@
 // longer is better refused at once: it would only compete with those that follow.
 func (c *chooser) awaitToken(now time.Time, service ident.Service, members []*roster.Member, exclude []ident.Server, promised ident.Server) bool {
 	var best ident.Server
-	wait := c.maxWait
+	wait := max(c.maxWait, c.tokenWait)
 	for _, m := range members {
 		server := m.Entry().Server
 		if slices.Contains(exclude, server) || c.roster.Resting(now, server) {
@@ -311,13 +312,9 @@
 	return max(1, int(serverConnFraction*float64(limit)/float64(max(1, d.serving))))
 }
 
-// maxWait returns the longest time that a request of a route and a priority may wait in a server's queue if its answer is due after the given
-// time.
-func (d *dispatch) maxWait(r *table.Route, rank int, due time.Duration) time.Duration {
-	urgentTarget := time.Duration(0)
-	if d.urgentFirst {
-		urgentTarget = r.UrgentTarget(rank)
-	}
+// maxWait returns the longest time that a request of a priority may wait in a server's queue if its answer is due after the given time, and
+// urgentTarget is the shortest target latency of more urgent requests to the same servers, 0 if these need no room.
+func (d *dispatch) maxWait(rank int, due, urgentTarget time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return place.MaxWait(d.table == nil || rank <= d.table.HighestPriority(), due, urgentTarget)
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -111,10 +111,13 @@
 
 // newChooser returns what selects the servers for a request.
 func (e *Edge) newChooser(rq *request, spec gather.Spec) *chooser {
-	due := rq.soft.Sub(rq.arrived)
+	due, urgentTarget := rq.soft.Sub(rq.arrived), time.Duration(0)
+	if e.dispatch.urgentFirst {
+		urgentTarget = rq.route.UrgentTarget(rq.rank)
+	}
 	return &chooser{
-		dispatch: e.dispatch, typical: spec.TypicalLatency, failureCost: due, maxWait: e.dispatch.maxWait(rq.route, rq.rank, due),
-		bytes: rq.bytes(),
+		dispatch: e.dispatch, typical: spec.TypicalLatency, failureCost: due, maxWait: e.dispatch.maxWait(rq.rank, due, urgentTarget),
+		tokenWait: e.dispatch.maxWait(rq.rank, due, 0), bytes: rq.bytes(),
 		onRetryDenied: func(s ident.Service, firsts, retries int, fraction float64) {
 			e.log.Info(componentRequest, "second attempt denied by the retry budget", "id", rq.id, "service", s,
 				"first", firsts, "repeats", retries, "part", fraction)
@@ -287,6 +290,7 @@
 		return
 	}
 	ctx, end := e.dispatch.follow(j.attemptsCtx, sent)
+	defer end()
 	res = e.exchange(ctx, link.Call{
 		Target: sent.target, Method: j.rq.method, Head: j.rq.head, Body: j.rq.body, RequestID: j.rq.id,
 		Deadline: j.expires(), MaxConnections: sent.connections, Permit: permit, RunOnce: j.rq.route.Kind() != table.KindIdempotent,
--- a/internal/tier/edge/where.go
+++ b/internal/tier/edge/where.go
@@ -37,7 +37,7 @@
 		http.Error(w, "the route needs a team, and no such team is known", http.StatusBadRequest)
 		return
 	}
-	remaining := route.Timeout()
+	remaining := time.Duration(0)
 	if text := q.Get("remainingMs"); text != "" {
 		n, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(n > 0) || math.IsInf(n, 1) {
@@ -63,6 +63,12 @@
 		budget = max(0, remaining-rq.rtt)
 	}
 	rq.bound(budget, 0)
+	if e.leaving.Load() || budget <= 0 {
+		return where.Page{
+			VM: e.settings.Load().Name(), At: now, ConfigVersion: t.Version(), Route: route.Name(), Team: rq.team, Priority: rq.rank,
+			Refused: "the VM stops, or no time is left", Parts: []where.Part{},
+		}
+	}
 	spec := e.spec(rq)
 	c := e.newChooser(rq, spec)
 	rec := &recorder{chooser: c}
--- a/internal/tier/place/news.go
+++ b/internal/tier/place/news.go
@@ -20,6 +20,8 @@
 	maxQueue         = 1 << 20
 	// usualPaceSpan is how far the logarithm of a pace is from that of the usual one if the pace is not worth a report.
 	usualPaceSpan = 0.3
+	// stallDoubt is how long other VMs' news that a server stalls is ignored after its answer has shown this VM otherwise.
+	stallDoubt = 5 * time.Second
 )
 
 // Report is what a VM knows of the load of a server, for other VMs.
@@ -167,11 +169,15 @@
 		if !at.After(st.news().At) || !at.After(st.stalledAt) || !at.After(st.answeredAt) {
 			continue
 		}
-		b.heard.VMs++
 		if r.Stalled {
-			st.stalledAt = at
+			// The first news counts, until this VM has tried the server itself: one VM with a broken link would else withhold it from all for good.
+			if now.Sub(st.stalledAt) > maxNewsAge && !now.Before(st.doubtsUntil) {
+				st.stalledAt = at
+				b.heard.VMs++
+			}
 			continue
 		}
+		b.heard.VMs++
 		st.stalledAt = time.Time{}
 		st.heard = News{Load: header.Load{Running: r.Queue}, Heard: true, At: at}
 		if r.PacePercent >= minPace && r.PacePercent <= maxPace {
--- a/internal/tier/place/news_test.go
+++ b/internal/tier/place/news_test.go
@@ -150,6 +150,53 @@
 	})
 }
 
+// One VM with a broken link says with each heartbeat that a sound server stalls.
+func TestFalseStall(t *testing.T) {
+	b := newEven()
+	rng := rand.New(rand.NewPCG(1, 1))
+	picked := make(map[ident.Server]int)
+	for i := range 2000 {
+		now := start.Add(time.Duration(i) * typical)
+		if i%40 == 0 {
+			b.ApplyReports(now, map[ident.Server]place.Report{"a": {Stalled: true}}, known)
+		}
+		c, ok := b.Pick(now, pair(), typical, failureCost, rng)
+		if !ok {
+			t.Fatal("no server")
+		}
+		picked[c.Server]++
+		b.Answered(now.Add(typical), b.Sent(now, c.Server, typical), nil)
+	}
+	if picked["a"] < 500 {
+		t.Errorf("picked %v, want a quarter at least for each", picked)
+	}
+}
+
+// The queue of a server holds no work of kinds that it never gets.
+func TestCountAllKinds(t *testing.T) {
+	b := &place.Balancer{}
+	b.CountAllKinds()
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * time.Second)
+		b.Discarded(b.Sent(now, "patient", 40*typical))
+		b.Discarded(b.Sent(now, "both", typical))
+		b.Discarded(b.Sent(now, "both", 3*typical))
+	}
+	now := start.Add(time.Hour)
+	for range 4 {
+		b.Sent(now, "both", typical)
+		b.Sent(now, "urgent", typical)
+	}
+	for _, c := range []struct {
+		server ident.Server
+		lo, hi time.Duration
+	}{{"both", typical * 5 / 2, typical * 4}, {"urgent", typical * 3 / 2, typical * 3 / 2}} {
+		if w := b.QueueDelay(now, place.Candidate{Server: c.server, Slots: 2}, typical); w < c.lo || w > c.hi {
+			t.Errorf("queue delay at %s is %v, want %v to %v", c.server, w, c.lo, c.hi)
+		}
+	}
+}
+
 // Guards against a wave: all VMs hold the same old news of two servers that are almost alike. Few VMs make none.
 func TestNearTie(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/tier/place/place.go
+++ b/internal/tier/place/place.go
@@ -48,7 +48,7 @@
 	// jitterFraction is the maximum random fraction added to a cost. It spreads the requests of VMs that hold the same state.
 	jitterFraction = 0.1
 	// kindsWeight is the weight of a request in the moving average of the typical latencies of all kinds.
-	kindsWeight = 1.0 / 256
+	kindsWeight = 1.0 / 32
 )
 
 // Candidate is a server that a request may be sent to.
@@ -82,10 +82,8 @@
 type Balancer struct {
 	servers map[ident.Server]*serverStats
 	next    uint64
-	// countsAllKinds says that the requests in a server's queue are taken to be as long as those of all kinds are on average, which is
-	// meanTypical.
+	// countsAllKinds says that the requests in a server's queue are taken to be as long as those of all kinds that it gets are on average.
 	countsAllKinds bool
-	meanTypical    time.Duration
 	// vms is the number of VMs that serve clients, 0 unless pace and the news of other VMs are used.
 	vms   int
 	heard Heard
@@ -98,6 +96,8 @@
 
 type serverStats struct {
 	inFlight []request
+	// meanTypical is the moving average of the typical latencies of the requests that the VM has sent to the server.
+	meanTypical time.Duration
 	// latencyRatio is the moving average of the server's latency divided by the typical latency of the same kind of request. It was
 	// updated at latencyAt.
 	latencyRatio float64
@@ -116,6 +116,8 @@
 	// heard is the last news of the server's load from another VM, stalledAt when another VM last waited for it in vain.
 	heard     News
 	stalledAt time.Time
+	// doubtsUntil is until when others' news that it stalls is ignored.
+	doubtsUntil time.Time
 	// rate is the average rate at which the VM sends to the server, as of rateAt.
 	rate   float64
 	rateAt time.Time
@@ -189,7 +191,11 @@
 	if b.vms > 0 {
 		load, ratio, stalled = b.expectedLoad(now, st, cand.Slots, typical), st.ratioAt(now, st.news()), st.stallPenalty(now)
 	}
-	cost := b.applyPenalties(time.Duration(float64(typical)*ratio)+b.queueDelay(load, ratio, cand.Slots, typical), cand)
+	work := float64(typical) * ratio * (1 + queueing(load, cand.Slots))
+	if b.countsAllKinds {
+		work = float64(typical)*ratio + float64(b.queueDelay(st, load, ratio, cand.Slots, typical))
+	}
+	cost := b.applyPenalties(time.Duration(work), cand)
 	if st.overdue(now) {
 		stalled = overduePenalty
 	}
@@ -204,19 +210,21 @@
 	if st == nil {
 		return 0
 	}
-	return b.queueDelay(st.queueLength(now), st.currentLatencyRatio(now), cand.Slots, typical)
+	return b.queueDelay(st, st.queueLength(now), st.currentLatencyRatio(now), cand.Slots, typical)
 }
 
 // queueDelay returns the time that a request spends in the queue of a server with a number of requests, each of which takes ratio times as long
 // as usual.
-func (b *Balancer) queueDelay(load, ratio float64, slots int, typical time.Duration) time.Duration {
+func (b *Balancer) queueDelay(st *serverStats, load, ratio float64, slots int, typical time.Duration) time.Duration {
 	if b.countsAllKinds {
-		typical = max(typical, b.meanTypical)
+		typical = max(typical, st.meanTypical)
 	}
-	queueing := max(0, load+1-float64(slots)) / float64(slots)
-	return time.Duration(float64(typical) * ratio * queueing)
+	return time.Duration(float64(typical) * ratio * queueing(load, slots))
 }
 
+// queueing returns how many requests each slot of a server with a number of requests serves before one more.
+func queueing(load float64, slots int) float64 { return max(0, load+1-float64(slots)) / float64(slots) }
+
 // InFlight returns the number of requests that the VM has in flight to a server.
 func (b *Balancer) InFlight(s ident.Server) int {
 	st := b.servers[s]
@@ -264,7 +272,10 @@
 // in Answered, Refused, Failed, Unreachable, TimedOut or Discarded.
 func (b *Balancer) Sent(now time.Time, s ident.Server, typical time.Duration) Handle {
 	st := b.stats(now, s)
-	b.meanTypical += time.Duration(kindsWeight * float64(typical-b.meanTypical))
+	if st.meanTypical == 0 {
+		st.meanTypical = typical
+	}
+	st.meanTypical += time.Duration(kindsWeight * float64(typical-st.meanTypical))
 	b.next++
 	st.inFlight = append(st.inFlight, request{id: b.next, sent: now, typical: typical})
 	st.countSend(now)
@@ -281,6 +292,9 @@
 	}
 	st.observeResult(now, 0)
 	st.backoffUntil, st.backoff = time.Time{}, 0
+	if !st.stalledAt.IsZero() {
+		st.doubtsUntil = now.Add(stallDoubt)
+	}
 	st.answeredAt, st.stalledAt = now, time.Time{}
 	b.observeLoad(now, st, load)
 	return wasBackingOff
--- a/internal/tier/table/table.go
+++ b/internal/tier/table/table.go
@@ -134,9 +134,11 @@
 	}
 	for _, routes := range t.hosts {
 		for _, r := range routes {
+			found := map[*Route]bool{r: true}
 			for _, s := range r.services() {
 				for _, other := range byService[s] {
-					if other != r && !slices.Contains(r.rivals, other) {
+					if !found[other] {
+						found[other] = true
 						r.rivals = append(r.rivals, other)
 					}
 				}
