guard, hold, delay, edge: what the review of limits for clients found

A temporary accept error ended a door for good. A legal head without room got 431 instead of 503; a refusal could be written for a request that then runs; a body's rate counted its head; OPTIONS * went past the handlers. Change: the end of a head as net/http sees it; accept errors as they are; 100 ms in which a connection doesn't give way at its door; 503 with Retry-After; no refusal once the handler has the request; the rate without the head; no handler of OPTIONS of net/http's own. Measured: TestHeadEnds and TestAcceptAgain fail on the code before (no refusal; the listener ends). TestCalm passes. Not done: newcomers are told by polling each 2 ms; scans of all connections under one lock; Grow may close some and still refuse.

--- a/internal/limit/hold/hold.go
+++ b/internal/limit/hold/hold.go
@@ -33,6 +33,8 @@
 	largeFraction = 0.75
 	// minRateSpan is the time over which the rate of a body is measured at least, so that one that has just begun is not taken for slow.
 	minRateSpan = 100 * time.Millisecond
+	// turnSpan is how long a connection that has just come, or whose answer is written, doesn't give way at its door.
+	turnSpan = 100 * time.Millisecond
 )
 
 // ID identifies a connection.
@@ -70,6 +72,8 @@
 	stage Stage
 	since time.Time
 	bytes int64
+	// before is what it held when it entered its stage.
+	before int64
 	// evicted says that the connection is being closed.
 	evicted bool
 }
@@ -83,7 +87,7 @@
 func (b *Budget) Open(now time.Time, id ID, door Door) Decision {
 	var d Decision
 	if b.conns[door] >= b.limits.Conns[door] {
-		victim, ok := b.first(now, id, func(h *holder) bool { return h.door == door })
+		victim, ok := b.first(now, id, func(h *holder) bool { return h.door == door && now.Sub(h.since) >= turnSpan })
 		if !ok {
 			return d
 		}
@@ -151,6 +155,7 @@
 	if s == StageIdle {
 		h.bytes = 0
 	}
+	h.before = h.bytes
 	b.count(h, 1)
 }
 
@@ -224,5 +229,5 @@
 }
 
 func (h *holder) rate(now time.Time) float64 {
-	return float64(h.bytes) / max(minRateSpan, now.Sub(h.since)).Seconds()
+	return float64(h.bytes-h.before) / max(minRateSpan, now.Sub(h.since)).Seconds()
 }
--- a/internal/tier/delay/delay.go
+++ b/internal/tier/delay/delay.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -18,7 +17,7 @@
 func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		return nil, errors.Errorf("accept: %w", err)
+		return nil, err //nolint:wrapcheck // net/http tries again after some.
 	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		return conn{tcp}, nil
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -226,7 +226,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return guard.ConnContext(delay.ConnContext(ctx, c), c)
 		},
-		ConnState: guard.ConnState,
+		ConnState: guard.ConnState, DisableGeneralOptionsHandler: true,
 	})
 	e.cleanups = append(e.cleanups, closeServer)
 	go func() {
--- a/internal/wire/guard/conn.go
+++ b/internal/wire/guard/conn.go
@@ -20,6 +20,7 @@
 	// lastWriteTimeout bounds the refusal of a head.
 	lastWriteTimeout = 100 * time.Millisecond
 	tooLarge         = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	noRoom           = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 0.100\r\nContent-Length: 0\r\n\r\n"
 )
 
 // past is a deadline that is over.
@@ -44,6 +45,10 @@
 	limits        HeadLimits
 	line          int
 	lines, bytes  int
+	// endsCR says that the line that has begun ends with a carriage return so far, begun that a line wasn't empty.
+	endsCR, begun bool
+	// complete says that the handler has the request.
+	complete bool
 	// after counts the bytes that arrived after the head.
 	after int64
 }
@@ -57,24 +62,31 @@
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.count(p[:n]) {
-		c.mu.Lock()
-		c.stopped = true
-		c.mu.Unlock()
-		_ = c.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
-		_, _ = c.Write([]byte(tooLarge))
-		return 0, os.ErrDeadlineExceeded
+	if n > 0 {
+		if answer := c.count(p[:n]); answer != "" {
+			c.mu.Lock()
+			if c.complete {
+				// The byte belongs to the next request; the one that has arrived may run.
+				c.mu.Unlock()
+				return n, err //nolint:wrapcheck // As below.
+			}
+			c.stopped = true
+			c.mu.Unlock()
+			_ = c.SetWriteDeadline(time.Now().Add(lastWriteTimeout))
+			_, _ = c.Write([]byte(answer))
+			return 0, os.ErrDeadlineExceeded
+		}
 	}
 	return n, err //nolint:wrapcheck // net/http compares the errors of a connection.
 }
 
-// count counts what arrived and reports whether it is within the limits and has room.
-func (c *Conn) count(p []byte) bool {
+// count counts what arrived and returns the refusal if it isn't within the limits or has no room.
+func (c *Conn) count(p []byte) (refusal string) {
 	c.mu.Lock()
 	if !c.inHead && c.started {
 		c.after += int64(len(p))
 		c.mu.Unlock()
-		return true
+		return ""
 	}
 	first := !c.started
 	if first {
@@ -88,13 +100,13 @@
 	}
 	if !within {
 		c.keeper.onClose(CauseHead)
-		return false
+		return tooLarge
 	}
 	if !c.keeper.grow(c, cost) {
 		c.keeper.onClose(CauseFull)
-		return false
+		return noRoom
 	}
-	return true
+	return ""
 }
 
 // countHead counts bytes of a head. It returns what they take, and whether the head is within its limits. The caller holds the lock.
@@ -108,6 +120,7 @@
 		end := bytes.IndexByte(p[size:], '\n')
 		if end < 0 {
 			c.line += len(p) - size
+			c.endsCR = p[len(p)-1] == '\r'
 			size = len(p)
 			break
 		}
@@ -115,11 +128,12 @@
 		size += end + 1
 		c.lines++
 		length := c.line + len(line)
-		if length > 0 && (len(line) > 0 && line[len(line)-1] == '\r' || len(line) == 0 && c.line == 1) {
+		if len(line) > 0 && line[len(line)-1] == '\r' || len(line) == 0 && c.line > 0 && c.endsCR {
 			length--
 		}
 		c.line = 0
-		if length == 0 && c.lines > 1 {
+		c.begun = c.begun || length > 0
+		if length == 0 && c.begun {
 			c.inHead = false
 			c.after = int64(len(p) - size)
 		}
@@ -131,7 +145,7 @@
 // Complete says that the head of a request has been read. length is that of its body, below 0 if it isn't known.
 func (c *Conn) Complete(length int64) {
 	c.mu.Lock()
-	c.inHead, c.started = false, true
+	c.inHead, c.started, c.complete = false, true, true
 	// A body of unknown length may be followed by a request.
 	c.early = c.early || length < 0
 	c.after -= max(0, length)
@@ -143,7 +157,7 @@
 
 // Grow asks for room for n more bytes that the request holds.
 func (c *Conn) Grow(n int64) bool {
-	if c.keeper.grow(c, n) {
+	if !c.Evicted() && c.keeper.grow(c, n) {
 		return true
 	}
 	c.keeper.onClose(CauseFull)
@@ -161,6 +175,7 @@
 func (c *Conn) idle() {
 	c.mu.Lock()
 	c.early = c.early || c.after > 0
+	c.begun, c.complete = false, false
 	c.inHead, c.started, c.line, c.lines, c.bytes, c.after = false, false, 0, 0, 0, 0
 	c.mu.Unlock()
 	c.keeper.enter(c, hold.StageIdle)
--- a/internal/wire/guard/guard_test.go
+++ b/internal/wire/guard/guard_test.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/limit/hold"
+	"kumquatreel.example/kumquatreel/internal/tier/delay"
 	"kumquatreel.example/kumquatreel/internal/wire/guard"
 )
 
@@ -129,3 +131,57 @@
 		}
 	}
 }
+
+// Guards against lines that look like the end of a head to the listener and not to net/http, after which nothing would be counted.
+func TestHeadEnds(t *testing.T) {
+	const start = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n"
+	lines := strings.Repeat("a: b\r\n", maxLines-4)
+	for name, texts := range map[string][]string{
+		"a line of one space, in two pieces":  {start + "a: b\r\n ", "\n" + lines},
+		"empty lines before the next request": {start + "\r\n", "\r\n\r\n" + start + lines},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := newServer(t, hold.Limits{Bytes: 1 << 20, Conns: []int{9}})
+			c := dial(t, address)
+			for _, text := range texts {
+				_, _ = io.WriteString(c, text)
+				time.Sleep(50 * time.Millisecond)
+			}
+			if answers, _ := io.ReadAll(c); !strings.Contains(string(answers), " 431 ") {
+				t.Errorf("answers are %q, want a refusal", answers)
+			}
+		})
+	}
+}
+
+// flaky is a listener whose first Accept fails for want of descriptors.
+type flaky struct {
+	net.Listener
+	failed bool
+}
+
+// Accept implements net.Listener.
+func (f *flaky) Accept() (net.Conn, error) {
+	if !f.failed {
+		f.failed = true
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return f.Listener.Accept()
+}
+
+// Guards against a listener that ends for good because descriptors ran out once.
+func TestAcceptAgain(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := guard.NewKeeper(hold.Limits{Bytes: 1 << 20, Conns: []int{4}}, func(guard.Cause) {})
+	srv := &http.Server{Handler: http.NotFoundHandler(), ConnContext: guard.ConnContext, ConnState: guard.ConnState, ReadHeaderTimeout: time.Second}
+	t.Cleanup(func() { _ = srv.Close() })
+	go func() {
+		_ = srv.Serve(k.Listener(delay.NewListener(&flaky{Listener: l}), 0, func() guard.HeadLimits {
+			return guard.HeadLimits{Lines: maxLines, Bytes: maxBytes}
+		}))
+	}()
+	assertStatuses(t, l.Addr().String(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n", 99, 404)
+}
--- a/internal/wire/guard/keeper.go
+++ b/internal/wire/guard/keeper.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"kumquatreel.example/kumquatreel/internal/limit/hold"
 )
 
@@ -139,7 +137,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
-		return nil, errors.Errorf("accept: %w", err)
+		return nil, err //nolint:wrapcheck // net/http tries again after some.
 	}
 	out := &Conn{Conn: c, keeper: l.keeper, head: l.head}
 	for closed := false; !l.keeper.open(out, l.door, closed); {
