edge, setup: reports of servers beside statements, and a bound for the memory that is named

Change: applyServerReports moves as it is; a terabyte at most. Measured: tests of edge and setup pass.

--- a/internal/conf/setup/setup.go
+++ b/internal/conf/setup/setup.go
@@ -32,8 +32,11 @@
 	defaultLogLevel              = "info"
 )
 
-// maxServerHoldKilobytes is a terabyte.
-const maxServerHoldKilobytes = 1 << 30
+// Both are a terabyte.
+const (
+	maxServerHoldKilobytes = 1 << 30
+	maxMemoryMegabytes     = 1 << 20
+)
 
 // Text is the JSON form of a settings file. Address is an IP address; the other addresses are host:port with an IP address as host.
 // A zero field gets its default, if there is one.
@@ -148,6 +151,7 @@
 	check(t.RetryRatio >= 0, "/repeatRatio", "%v is below 0", t.RetryRatio)
 	check(t.RetrySlack >= 0, "/repeatSlack", "%v is below 0", t.RetrySlack)
 	check(*t.RateOvershoot >= 0, "/rateOvershoot", "%v is below 0", *t.RateOvershoot)
+	check(t.MemoryMegabytes <= maxMemoryMegabytes, "/memoryMegabytes", "%v is above %d", t.MemoryMegabytes, maxMemoryMegabytes)
 	check(*t.ServerHoldKilobytes >= 0 && *t.ServerHoldKilobytes <= maxServerHoldKilobytes, "/serverHoldKilobytes", "%v is not from 0 to %d",
 		*t.ServerHoldKilobytes, maxServerHoldKilobytes)
 	check(*t.RateSlack >= 0, "/rateSlack", "%v is below 0", *t.RateSlack)
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -437,30 +437,6 @@
 	}
 }
 
-// applyServerReports applies what another VM has heard from servers, and logs the changes.
-func (e *Edge) applyServerReports(now time.Time, m peers.Message) {
-	d := e.dispatch
-	services := make(map[ident.Server]ident.Service)
-	d.mu.Lock()
-	changes := d.pacer.ApplyReports(now, m.ServerLimits)
-	for server := range changes {
-		if known := d.roster.Member(server); known != nil {
-			services[server] = known.Entry().Service
-			d.pacer.SetStart(server, known.Entry().Start().String())
-		}
-	}
-	avoided := d.roster.ApplyReports(now, m.ServerStatements)
-	d.balancer.ApplyReports(now, m.ServerLoads, func(s ident.Server) bool { return d.roster.Member(s) != nil })
-	d.mu.Unlock()
-	for _, server := range avoided {
-		e.log.Info(componentServers, "server is used after the others", "server", server, "leaving", m.ServerStatements[server].Leaving,
-			"restMs", m.ServerStatements[server].RestMs, "from", m.From.VM)
-	}
-	for server, c := range changes {
-		e.logLimitChange(server, services[server], c, string(m.From.VM))
-	}
-}
-
 // directory returns the addresses to which clients should send requests.
 func (e *Edge) directory() []string {
 	return e.choose(e.directoryVMs(time.Now()))
--- a/internal/tier/edge/statement.go
+++ b/internal/tier/edge/statement.go
@@ -9,6 +9,7 @@
 	"kumquatreel.example/kumquatreel/internal/tier/admit"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/peers"
 	"kumquatreel.example/kumquatreel/internal/tier/roster"
 )
 
@@ -79,3 +80,27 @@
 	d.pacer.SetStart(server, s.start.String())
 	return change, ""
 }
+
+// applyServerReports applies what another VM has heard from servers, and logs the changes.
+func (e *Edge) applyServerReports(now time.Time, m peers.Message) {
+	d := e.dispatch
+	services := make(map[ident.Server]ident.Service)
+	d.mu.Lock()
+	changes := d.pacer.ApplyReports(now, m.ServerLimits)
+	for server := range changes {
+		if known := d.roster.Member(server); known != nil {
+			services[server] = known.Entry().Service
+			d.pacer.SetStart(server, known.Entry().Start().String())
+		}
+	}
+	avoided := d.roster.ApplyReports(now, m.ServerStatements)
+	d.balancer.ApplyReports(now, m.ServerLoads, func(s ident.Server) bool { return d.roster.Member(s) != nil })
+	d.mu.Unlock()
+	for _, server := range avoided {
+		e.log.Info(componentServers, "server is used after the others", "server", server, "leaving", m.ServerStatements[server].Leaving,
+			"restMs", m.ServerStatements[server].RestMs, "from", m.From.VM)
+	}
+	for server, c := range changes {
+		e.logLimitChange(server, services[server], c, string(m.From.VM))
+	}
+}
