--- a/internal/tier/edge/doors.go
+++ b/internal/tier/edge/doors.go
@@ -12,6 +12,7 @@
 	"kumquatreel.example/kumquatreel/internal/conf/setup"
 	"kumquatreel.example/kumquatreel/internal/limit/hold"
 	"kumquatreel.example/kumquatreel/internal/tier/admit"
+	"kumquatreel.example/kumquatreel/internal/tier/link"
 	"kumquatreel.example/kumquatreel/internal/tier/table"
 	"kumquatreel.example/kumquatreel/internal/wire/guard"
 )
@@ -175,7 +176,7 @@
 			return nil, noRoom()
 		}
 		piece := make([]byte, size)
-		n, err := fill(r.Body, piece)
+		n, err := link.Fill(r.Body, piece)
 		left -= int64(n)
 		if n > 0 {
 			pieces = append(pieces, piece[:n])
@@ -191,17 +192,6 @@
 	}
 }
 
-// fill reads until a piece is full or the body ends. Unlike io.ReadFull, it tells a body that ends from one that breaks off.
-func fill(r io.Reader, piece []byte) (int, error) {
-	for n := 0; ; {
-		m, err := r.Read(piece[n:])
-		n += m
-		if err != nil || n == len(piece) {
-			return n, err //nolint:wrapcheck // The caller compares it.
-		}
-	}
-}
-
 func slowBody() *refusal {
 	return &refusal{status: http.StatusRequestTimeout, text: "the body did not arrive", retryAfter: admit.MinRetryAfter, ends: true}
 }
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -242,7 +242,7 @@
 	}
 	for {
 		piece := make([]byte, size)
-		n, err := fill(resp.Body, piece)
+		n, err := Fill(resp.Body, piece)
 		pieces = append(pieces, piece[:n])
 		total += int64(n)
 		allowed = c.memory.take(int64(n)) && allowed
@@ -260,8 +260,8 @@
 	}
 }
 
-// fill reads until p is full. Unlike io.ReadFull, it returns the reader's own error, which tells an end from a truncation.
-func fill(r io.Reader, p []byte) (n int, err error) {
+// Fill reads until p is full. Unlike io.ReadFull, it returns the reader's own error, which tells an end from a truncation.
+func Fill(r io.Reader, p []byte) (n int, err error) {
 	for n < len(p) && err == nil {
 		var m int
 		m, err = r.Read(p[n:])
