--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -46,6 +46,8 @@
 	runs                []*run
 	arrivals            []arrival
 	refused, misaddress int
+	// failOne, if above 0, makes the server run one of so many requests and then answer it with failStatus, which is a failure.
+	failOne, failStatus int
 }
 
 // arrival is a request that reached a server and did not get 421.
@@ -180,6 +182,9 @@
 		status = 0
 	}
 	r.mu.Lock()
+	if status == http.StatusOK && r.failOne > 0 && len(r.runs)%r.failOne == 0 {
+		status = r.failStatus
+	}
 	r.running--
 	x.finished = status == http.StatusOK
 	r.mu.Unlock()
