--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -48,6 +48,10 @@
 	refused, misaddress int
 	// failOne, if above 0, makes the server run one of so many requests and then answer it with failStatus, which is a failure.
 	failOne, failStatus int
+	// coldLimit, if above 0, is how many requests in a second the server bears while it is cold, broke how often it got more and crashed. down
+	// says that it is crashing.
+	coldLimit, broke int
+	down             bool
 }
 
 // arrival is a request that reached a server and did not get 421.
@@ -141,6 +145,11 @@
 		return
 	}
 	r.arrivals = append(r.arrivals, arrival{now, id, cold})
+	if !r.down && r.breaks(now) {
+		r.down = true
+		r.broke++
+		go r.breakDown()
+	}
 	full := r.waiting >= maxQueue
 	if !full {
 		r.waiting++
