--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -25,6 +25,7 @@
 	began    time.Time
 	work     time.Duration
 	finished bool
+	spoiled  bool
 }
 
 // replica is a backend server. It runs slots requests at a time, queues a few more and drops a request when its connection closes.
@@ -48,6 +49,8 @@
 	refused, misaddress int
 	// failOne, if above 0, makes the server run one of so many requests and then answer it with failStatus, which is a failure.
 	failOne, failStatus int
+	// spoilOne, if above 0, makes the server hand out one of so many answers spoiled: without its signature, and with other bytes.
+	spoilOne int
 	// coldLimit, if above 0, is how many requests in a second the server bears while it is cold, broke how often it got more and crashed. down
 	// says that it is crashing.
 	coldLimit, broke int
@@ -196,12 +199,18 @@
 	}
 	r.running--
 	x.finished = status == http.StatusOK
+	x.spoiled = status == http.StatusOK && r.spoilOne > 0 && len(r.runs)%r.spoilOne == 0
 	r.mu.Unlock()
 	free <- struct{}{}
 	if status == 0 {
 		r.b.log("%s drops %s after %v, its connection is closed", r.id, id, time.Since(x.began).Round(time.Millisecond))
 		return
 	}
+	if x.spoiled {
+		r.b.log("%s hands out a spoiled answer to %s: 200 without its signature", r.id, id)
+		_, _ = w.Write([]byte("bytes that are no answer"))
+		return
+	}
 	w.Header().Set("X-Response-Signature", signature(id, r.service))
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte("0123456789abcdef"))
