--- a/review/harness2/mesh.go
+++ b/review/harness2/mesh.go
@@ -23,11 +23,9 @@
 	maxDatagram    = 64 << 10
 )
 
-// mesh relays what VMs send to each other, and can cut each direction of each link without a sign.
+// mesh relays what VMs send to each other and to the store, and can make open connections silent.
 type mesh struct {
 	b     *bench
-	n     int
-	cut   [][]atomic.Bool
 	mu    sync.Mutex
 	conns []net.Conn
 	// links are the connections between VMs, stores those to the store.
@@ -42,9 +40,8 @@
 
 // newMesh puts relays between all VMs. It must be called before they start.
 func (b *bench) newMesh() (*mesh, error) {
-	m := &mesh{b: b, n: len(b.vms), cut: make([][]atomic.Bool, len(b.vms))}
+	m := &mesh{b: b}
 	for i, v := range b.vms {
-		m.cut[i] = make([]atomic.Bool, len(b.vms))
 		v.settings["gossipPort"] = firstGossip + i
 		v.settings["peers"] = fmt.Sprintf("%s:%d", v.ip, firstPeers+i)
 	}
@@ -80,13 +77,6 @@
 	return c
 }
 
-// cutFrom cuts what a VM sends to the other VMs, or ends that.
-func (m *mesh) cutFrom(i int, cut bool) {
-	for j := range m.n {
-		m.cut[i][j].Store(cut)
-	}
-}
-
 func (m *mesh) relayDatagrams(i, j int, ip string) error {
 	l, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(ip), Port: firstGossip + i})
 	if err != nil {
@@ -101,9 +91,7 @@
 			if err != nil {
 				return
 			}
-			if !m.cut[i][j].Load() {
-				_, _ = l.WriteToUDP(buf[:n], to)
-			}
+			_, _ = l.WriteToUDP(buf[:n], to)
 		}
 	}()
 	return nil
@@ -122,10 +110,6 @@
 				return
 			}
 			m.keep(c)
-			// A connection needs both directions to open.
-			if m.cut[i][j].Load() || m.cut[j][i].Load() {
-				continue
-			}
 			up, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", ip, firstPeers+j), time.Second)
 			if err != nil {
 				_ = c.Close()
@@ -136,19 +120,19 @@
 			m.mu.Lock()
 			m.links = append(m.links, k)
 			m.mu.Unlock()
-			go m.pipe(up, c, &m.cut[i][j], &k.silent)
-			go m.pipe(c, up, &m.cut[j][i], &k.silent)
+			go pipe(up, c, &k.silent)
+			go pipe(c, up, &k.silent)
 		}
 	}()
 	return nil
 }
 
-// pipe copies bytes until the direction is cut: what is sent then is lost, and so is what follows.
-func (m *mesh) pipe(to, from net.Conn, cut, silent *atomic.Bool) {
+// pipe copies bytes until the link is silent: what is sent then is lost.
+func pipe(to, from net.Conn, silent *atomic.Bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		if cut.Load() || silent.Load() && err != nil {
+		if silent.Load() && err != nil {
 			return
 		}
 		if silent.Load() {
@@ -195,9 +179,8 @@
 				m.mu.Lock()
 				m.stores = append(m.stores, k)
 				m.mu.Unlock()
-				never := &atomic.Bool{}
-				go m.pipe(up, c, never, &k.silent)
-				go m.pipe(c, up, never, &k.silent)
+				go pipe(up, c, &k.silent)
+				go pipe(c, up, &k.silent)
 			}
 		}()
 	}
