--- a/review/harness2/coldstart.go
+++ b/review/harness2/coldstart.go
@@ -17,6 +17,8 @@
 	coldRate  = 20
 	coldBound = coldRate*3/2 + 5
 	coldTime  = 3 * time.Second
+	// It crashes above coldCrash requests in a second, twice what the rule allows.
+	coldCrash = 2 * coldBound
 	// The store turns all calls away for outage. The servers crash crashAfter it began, and start again after crashFor.
 	outage     = 4500 * time.Millisecond
 	crashAfter = 500 * time.Millisecond
@@ -73,9 +75,10 @@
 		r.crash()
 	}
 	time.Sleep(crashFor)
-	var wg sync.WaitGroup
+	var wg, again sync.WaitGroup
 	failed := make(chan error, len(replicas))
 	for _, r := range replicas {
+		r.crashIfOverloaded(&again, back)
 		wg.Go(func() { failed <- r.startCold(back) })
 	}
 	wg.Wait()
@@ -86,11 +89,13 @@
 	}
 	time.Sleep(coldTime + time.Second)
 	close(stop)
+	again.Wait()
 	times := sent()
 	most, which := 0, ""
 	for _, r := range replicas {
 		n := r.mostCold(times)
-		b.log("%s got up to %d requests in a second while it was cold, %d allowed", r.id, n, coldBound)
+		b.log("%s got up to %d requests in a second while it was cold, %d allowed; %d requests ended with their connections while they ran",
+			r.id, n, coldBound, r.dropped)
 		if n > most {
 			most, which = n, r.id
 		}
@@ -104,6 +109,32 @@
 	return "", nil
 }
 
+// crashIfOverloaded lets the server crash once more, and start again, when it gets far more than it tolerates while it is cold.
+func (r *replica) crashIfOverloaded(wg *sync.WaitGroup, back time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashAbove = coldCrash
+	wg.Add(1)
+	over := sync.OnceFunc(wg.Done)
+	r.overloaded = func() {
+		defer over()
+		r.b.log("%s crashes: more than %d requests in a second while it is cold", r.id, coldCrash)
+		r.crash()
+		time.Sleep(crashFor)
+		if err := r.startCold(back); err != nil {
+			r.b.log("%s does not start: %v", r.id, err)
+		}
+	}
+	time.AfterFunc(coldTime+outage, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.overloaded != nil {
+			r.overloaded = nil
+			over()
+		}
+	})
+}
+
 // startCold starts a crashed server again under its id, cold. It returns when the server has said so in the store, which takes calls from back on.
 func (r *replica) startCold(back time.Time) error {
 	r.mu.Lock()
@@ -115,9 +146,13 @@
 		serving <- r.listen()
 		r.b.log("%s serves", r.id)
 	})
-	for ; time.Now().Before(back); time.Sleep(heartbeat) {
+	crashed := r.crashed()
+	for ; r.crashed() == crashed && time.Now().Before(back); time.Sleep(heartbeat) {
 		r.b.log("%s can't register, the store turns it away", r.id)
 	}
+	if r.crashed() > crashed {
+		return <-serving
+	}
 	if err := r.publish("ready"); err != nil {
 		return err
 	}
--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -50,6 +50,12 @@
 	failOne, failStatus int
 	// spoilOne, if above 0, makes the server hand out one of so many answers spoiled: without its signature, and with other bytes.
 	spoilOne int
+	// overloaded, if not nil, is called once when a cold server has got more than crashAbove requests in a second. dropped counts the requests
+	// whose connection ended while they ran.
+	overloaded func()
+	crashAbove int
+	dropped    int
+	crashes    int
 }
 
 // arrival is a request that reached a server and did not get 421.
@@ -94,10 +100,18 @@
 func (r *replica) crash() {
 	r.mu.Lock()
 	srv := r.srv
+	r.crashes++
 	r.mu.Unlock()
 	_ = srv.Close()
 }
 
+// crashed returns how often the server has crashed.
+func (r *replica) crashed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
 func (r *replica) publish(state string) error {
 	r.mu.Lock()
 	left := max(0, time.Until(r.coldUntil).Milliseconds())
@@ -143,6 +157,10 @@
 		return
 	}
 	r.arrivals = append(r.arrivals, arrival{now, id, cold})
+	if cold && r.overloaded != nil && r.coldWithin(now) > r.crashAbove {
+		go r.overloaded()
+		r.overloaded = nil
+	}
 	full := r.waiting >= maxQueue
 	if !full {
 		r.waiting++
@@ -189,6 +207,9 @@
 	}
 	r.running--
 	x.finished = status == http.StatusOK
+	if status == 0 {
+		r.dropped++
+	}
 	x.spoiled = status == http.StatusOK && r.spoilOne > 0 && len(r.runs)%r.spoilOne == 0
 	r.mu.Unlock()
 	free <- struct{}{}
@@ -206,6 +227,16 @@
 	_, _ = w.Write([]byte("0123456789abcdef"))
 }
 
+// coldWithin returns how many requests reached the server in the last second while it was cold. The caller holds the lock.
+func (r *replica) coldWithin(now time.Time) (n int) {
+	for i := len(r.arrivals) - 1; i >= 0 && now.Sub(r.arrivals[i].at) < time.Second; i-- {
+		if r.arrivals[i].cold {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *replica) refuse(w http.ResponseWriter, waited bool) {
 	r.mu.Lock()
 	r.refused++
