edge: a server's failure that promises "not run" is not passed on

Callers saw: requests that may run once were answered 503 by their server, though it had run them, and sent them again, as that status allows.

Cause: for a route to one service a server's failure was passed on whatever its status. 408, 421, 429 and 503 tell a client that its request has not run; only the header of a refusal says whether that is so.

Evidence: the log of such a request has "part not answered" with verdict=failed, status=503 and then the answer 503 with sends=1: the VM took the answer for a failure of a server that ran the request, and passed it on. Ruled out by that: a wrong verdict, a second attempt after the answer.

Change: a failure with one of these statuses is not kept for the client, who gets 502, or 504 once the time is over, without the server's signature.

--- a/internal/base/status/status.go
+++ b/internal/base/status/status.go
@@ -24,6 +24,16 @@
 	return code >= minInterim && code < minFinal && code != http.StatusSwitchingProtocols
 }
 
+// NotRun reports whether a status tells a client that its request has not run and never will: 408, 421, 429 and 503. Clients send such a request
+// again even if it may run only once.
+func NotRun(code int) bool {
+	switch code {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Parse returns the final or interim status in a line that begins an answer of HTTP/1. The line may be cut off after LineBytes.
 func Parse(line []byte) (int, error) {
 	const digits = len("HTTP/1.1 ")
--- a/internal/base/status/status_test.go
+++ b/internal/base/status/status_test.go
@@ -33,3 +33,11 @@
 		}
 	}
 }
+
+func TestNotRun(t *testing.T) {
+	for code := range 1000 {
+		if want := code == 408 || code == 421 || code == 429 || code == 503; status.NotRun(code) != want {
+			t.Errorf("%d: %v, want %v", code, !want, want)
+		}
+	}
+}
--- a/internal/node/owner/status_test.go
+++ b/internal/node/owner/status_test.go
@@ -60,3 +60,21 @@
 		})
 	}
 }
+
+// A server runs a part and answers with a status that others use for parts that have not run: without the word that it has not run, the outcome
+// stays unknown, and a part that may run once is not sent again.
+func TestFalsePromises(t *testing.T) {
+	for _, status := range []string{"400", "408", "409", "421", "429", "503", "504"} {
+		for _, word := range []string{"", "Not-Run: no\r\n", "Not-Run:\r\n"} {
+			t.Run(status+" "+word, func(t *testing.T) {
+				address := serveRaw(t, "HTTP/1.1 "+status+" X\r\nRequest-Id: p1\r\n"+word+"Content-Length: 0\r\n\r\n")
+				p := &connPool{address: address, client: &http.Client{Transport: &http.Transport{}}, close: func() {}}
+				j := &job{part: inner.Part{ID: "p1"}, batch: &inner.Parts{}}
+				result, reply := p.run(context.Background(), j, 2*time.Second, 1<<10)
+				if reply.OK || reply.Outcome != fault.OutcomeUnknown || result.Outcome != fault.OutcomeUnknown {
+					t.Errorf("reply %+v, result %+v, want an unknown outcome", reply, result)
+				}
+			})
+		}
+	}
+}
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/base/status"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
@@ -73,7 +74,7 @@
 	missing []ident.Service
 	// short is the number of missing parts that a success lacks.
 	short int
-	// lastFailed is the last answer with which a server reported a failure.
+	// lastFailed is the last answer with which a server reported a failure, without those that would tell the client that the request has not run.
 	lastFailed *link.Answer
 	sends      int
 	hedges     int
@@ -260,7 +261,7 @@
 	switch {
 	case f.res.Verdict == gather.VerdictAnswered && !j.state.Answered(f.send.Shard):
 		j.out.parts[f.send.Shard] = f.res.Answer
-	case f.res.Verdict == gather.VerdictFailed:
+	case f.res.Verdict == gather.VerdictFailed && !status.NotRun(f.res.Answer.Status):
 		j.out.lastFailed.Release()
 		j.out.lastFailed = f.res.Answer
 	default:
