link: a 421 counts as not run only with a proof

Callers would see: a request that may run once runs at both servers of its service and is answered 503, as not run, where servers run requests and fail with 421.

Cause: link took each 421 for the answer of another server at the same address, which does not run the request.

Change: a 421 is misplaced if it has the header of a refusal or names another server than the target; else it is a failure of a server that may have run the request, which is not sent again, is answered 502, and does not drop the server.

--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -150,7 +150,7 @@
 	case err != nil:
 		return Result{Verdict: gather.VerdictLost, Err: err, Unresponsive: errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err), Dialed: dialed}
 	}
-	return Result{Verdict: t.classify(answer), Answer: answer, Dialed: dialed}
+	return Result{Verdict: t.classify(c.Target, answer), Answer: answer, Dialed: dialed}
 }
 
 // BoundMemory bounds the bytes of all answers to a part of the memory of the VM. It is called before the first call.
@@ -257,12 +257,14 @@
 	return n
 }
 
-// classify returns the verdict on an answer; only a signed answer with a 2xx status counts as answered.
-func (t *Transport) classify(a *Answer) gather.Verdict {
+// classify returns the verdict on an answer of a target; only a signed answer with a 2xx status counts as answered. No status alone proves that
+// the request did not run.
+func (t *Transport) classify(target header.Target, a *Answer) gather.Verdict {
+	notRun := a.Header.Get(t.names.NotRun) != ""
 	switch {
-	case a.Status == http.StatusMisdirectedRequest:
+	case a.Status == http.StatusMisdirectedRequest && (notRun || t.namesOther(target, a)):
 		return gather.VerdictMisplaced
-	case a.Header.Get(t.names.NotRun) != "":
+	case notRun:
 		return gather.VerdictRefused
 	case a.Status >= 200 && a.Status < 300 && a.Header.Get(t.names.Signature) != "":
 		return gather.VerdictAnswered
@@ -270,6 +272,12 @@
 	return gather.VerdictFailed
 }
 
+// namesOther reports whether an answer names another server than the target, which is the only one that may run the request.
+func (t *Transport) namesOther(target header.Target, a *Answer) bool {
+	server := a.Header.Get(t.names.Server)
+	return server != "" && server != string(target.Server)
+}
+
 func (t *Transport) pool(target header.Target) *pool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/tier/link/link_test.go
+++ b/internal/tier/link/link_test.go
@@ -16,7 +16,7 @@
 )
 
 var names = header.Names{
-	RequestID: "X-Id", RemainingMs: "X-Left", ExpectedServer: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signature",
+	RequestID: "X-Id", RemainingMs: "X-Left", ExpectedServer: "X-Expect", NotRun: "X-Not-Run", Signature: "X-Signature", Server: "X-Server",
 }
 
 // scriptedServer is a server that gives fixed answers to the requests on each connection; {id} stands for the request's ID.
@@ -135,7 +135,8 @@
 		{"without a signature", "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n", gather.VerdictFailed, ""},
 		{"that fail with a signature", "HTTP/1.1 500 Oops\r\nX-Id: {id}\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n", gather.VerdictFailed, ""},
 		{"that refuse", "HTTP/1.1 503 Full\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", gather.VerdictRefused, ""},
-		{"of another server", "HTTP/1.1 421 Misdirected\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n", gather.VerdictMisplaced, ""},
+		{"of another server", "HTTP/1.1 421 Misdirected\r\nX-Id: {id}\r\nX-Server: b\r\nContent-Length: 0\r\n\r\n", gather.VerdictMisplaced, ""},
+		{"of a server that may be another", "HTTP/1.1 421 Misdirected\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", gather.VerdictMisplaced, ""},
 		{"that fail without a word", "HTTP/1.1 503 Down\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n", gather.VerdictFailed, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -149,6 +150,16 @@
 	}
 }
 
+// A server runs a request and fails with 421, which other servers answer without running it: a request that may run once would be sent again.
+func TestMisdirected(t *testing.T) {
+	for _, headers := range []string{"X-Server: a\r\nX-Signature: s\r\n", "X-Server: a\r\n", "X-Signature: s\r\n", "X-Server:\r\nX-Not-Run:\r\n"} {
+		s := newScriptedServer(t, "HTTP/1.1 421 Misdirected\r\nX-Id: {id}\r\n"+headers+"Content-Length: 0\r\n\r\n")
+		if r := newTransport(t).Do(context.Background(), s.call("r1")); r.Verdict.NotRun() {
+			t.Errorf("verdict on 421 with %q is %v, want one that leaves open whether the request ran", headers, r.Verdict)
+		}
+	}
+}
+
 func TestReuse(t *testing.T) {
 	t.Run("of a connection after a whole answer", func(t *testing.T) {
 		s, tr := newScriptedServer(t, ok("one"), ok("two")), newTransport(t)
