link, edge: an answer without the server's signature reaches no client

Cause: link had one verdict for all complete answers that are neither a signed success nor a refusal, and edge passed the last of them on as the server's failure, whatever its status and whoever wrote it.

Evidence: the log of such a request has "part not answered" with verdict=failed, status=200, and the answer 200 to the client.

Change: an answer without a signature that is no refusal is invalid, a verdict of its own. It counts against the server as a failure does, the request may have run, and none of it reaches the client, who gets 502 or 504; the log names the reason. That also holds for unsigned failures: a 401 or 404 that nobody signed looked like the VM's own and ended a client's attempts.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -456,7 +456,7 @@
 		} else {
 			d.balancer.Failed(now, h)
 		}
-	case gather.VerdictFailed:
+	case gather.VerdictFailed, gather.VerdictInvalid:
 		d.balancer.Failed(now, h)
 	}
 	return change
--- a/internal/tier/gather/enums.go
+++ b/internal/tier/gather/enums.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _VerdictName = "answeredrefusedmisplacedunsentfailedlost"
+const _VerdictName = "answeredrefusedmisplacedunsentfailedinvalidlost"
 
-var _VerdictIndex = [...]uint8{0, 8, 15, 24, 30, 36, 40}
+var _VerdictIndex = [...]uint8{0, 8, 15, 24, 30, 36, 43, 47}
 
-const _VerdictLowerName = "answeredrefusedmisplacedunsentfailedlost"
+const _VerdictLowerName = "answeredrefusedmisplacedunsentfailedinvalidlost"
 
 func (i Verdict) String() string {
 	if i < 0 || i >= Verdict(len(_VerdictIndex)-1) {
@@ -29,10 +29,11 @@
 	_ = x[VerdictMisplaced-(2)]
 	_ = x[VerdictUnsent-(3)]
 	_ = x[VerdictFailed-(4)]
-	_ = x[VerdictLost-(5)]
+	_ = x[VerdictInvalid-(5)]
+	_ = x[VerdictLost-(6)]
 }
 
-var _VerdictValues = []Verdict{VerdictAnswered, VerdictRefused, VerdictMisplaced, VerdictUnsent, VerdictFailed, VerdictLost}
+var _VerdictValues = []Verdict{VerdictAnswered, VerdictRefused, VerdictMisplaced, VerdictUnsent, VerdictFailed, VerdictInvalid, VerdictLost}
 
 var _VerdictNameToValueMap = map[string]Verdict{
 	_VerdictName[0:8]:   VerdictAnswered,
@@ -40,7 +41,8 @@
 	_VerdictName[15:24]: VerdictMisplaced,
 	_VerdictName[24:30]: VerdictUnsent,
 	_VerdictName[30:36]: VerdictFailed,
-	_VerdictName[36:40]: VerdictLost,
+	_VerdictName[36:43]: VerdictInvalid,
+	_VerdictName[43:47]: VerdictLost,
 }
 
 var _VerdictLowerNameToValueMap = map[string]Verdict{
@@ -49,7 +51,8 @@
 	_VerdictLowerName[15:24]: VerdictMisplaced,
 	_VerdictLowerName[24:30]: VerdictUnsent,
 	_VerdictLowerName[30:36]: VerdictFailed,
-	_VerdictLowerName[36:40]: VerdictLost,
+	_VerdictLowerName[36:43]: VerdictInvalid,
+	_VerdictLowerName[43:47]: VerdictLost,
 }
 
 var _VerdictNames = []string{
@@ -58,7 +61,8 @@
 	_VerdictName[15:24],
 	_VerdictName[24:30],
 	_VerdictName[30:36],
-	_VerdictName[36:40],
+	_VerdictName[36:43],
+	_VerdictName[43:47],
 }
 
 // VerdictString retrieves an enum value from the enum constants string name.
--- a/internal/tier/gather/spec.go
+++ b/internal/tier/gather/spec.go
@@ -23,6 +23,8 @@
 	VerdictUnsent
 	// VerdictFailed means that the server ran the request and failed.
 	VerdictFailed
+	// VerdictInvalid means that what the server sent is no answer of it, neither a success nor a failure, and the request may have run.
+	VerdictInvalid
 	// VerdictLost means that no answer arrived and the request may have run.
 	VerdictLost
 )
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -39,6 +39,7 @@
 var (
 	errStale     = errors.New("answers on the connection belong to other requests")
 	errUntagged  = errors.New("answer on a reused connection has no request ID")
+	errUnsigned  = errors.New("answer has no signature")
 	errTooLarge  = errors.New("answer exceeds the size limit")
 	errBusy      = errors.New("no free connection to the server")
 	errRevoked   = errors.New("request was revoked before it was sent")
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// Result is the outcome of a call. Answer is nil if no complete answer arrived.
+// Result is the outcome of a call. Answer is nil if no complete answer arrived; one that is invalid has an Err.
 type Result struct {
 	Verdict gather.Verdict
 	Answer  *Answer
@@ -150,7 +150,8 @@
 	case err != nil:
 		return Result{Verdict: gather.VerdictLost, Err: err, Unresponsive: errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err), Dialed: dialed}
 	}
-	return Result{Verdict: t.classify(c.Target, answer), Answer: answer, Dialed: dialed}
+	verdict, err := t.classify(c.Target, answer)
+	return Result{Verdict: verdict, Answer: answer, Err: err, Dialed: dialed}
 }
 
 // BoundMemory bounds the bytes of all answers to a part of the memory of the VM. It is called before the first call.
@@ -257,19 +258,21 @@
 	return n
 }
 
-// classify returns the verdict on an answer of a target; only a signed answer with a 2xx status counts as answered. No status alone proves that
-// the request did not run.
-func (t *Transport) classify(target header.Target, a *Answer) gather.Verdict {
+// classify returns the verdict on an answer of a target, with the reason why it is invalid. Only a signed answer is the server's own, and counts as
+// answered or failed. No status alone proves that the request did not run.
+func (t *Transport) classify(target header.Target, a *Answer) (gather.Verdict, error) {
 	notRun := a.Header.Get(t.names.NotRun) != ""
 	switch {
 	case a.Status == http.StatusMisdirectedRequest && (notRun || t.namesOther(target, a)):
-		return gather.VerdictMisplaced
+		return gather.VerdictMisplaced, nil
 	case notRun:
-		return gather.VerdictRefused
-	case a.Status >= 200 && a.Status < 300 && a.Header.Get(t.names.Signature) != "":
-		return gather.VerdictAnswered
+		return gather.VerdictRefused, nil
+	case a.Header.Get(t.names.Signature) == "":
+		return gather.VerdictInvalid, errUnsigned
+	case a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices:
+		return gather.VerdictAnswered, nil
 	}
-	return gather.VerdictFailed
+	return gather.VerdictFailed, nil
 }
 
 // namesOther reports whether an answer names another server than the target, which is the only one that may run the request.
