link: an encoded answer, or one whose signature reads as two, is invalid

Callers would see: answers of servers in trouble as successes, with an encoded body that isn't the server's, or with a signature that holds a comma, a space or a second value. In an answer from all shards one such entry makes all of it wrong.

Cause: an answer counted as the server's own if it had any signature.

Change: it has to be signed once, without comma or space, and the body without an encoding; else it is invalid, as an answer without a signature is.

Test: platform TestSpoiledAnswers, six of its seven cases red on the code before, such as TestSpoiledAnswers/an_encoded_body, a_signature_that_reads_as_two, two_signatures: request r1: status 200 (...), want 502 TestSpoiledAnswers/an_encoded_failure: request r1: status 500 (), want 502

Measured: TestSpoiledAnswers, TestUnsignedAnswers, TestLateAnswers, TestRequests, TestSoak and tests of link and edge pass.

--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -258,8 +259,8 @@
 	return n
 }
 
-// classify returns the verdict on an answer of a target, with the reason why it is invalid. Only a signed answer is the server's own, and counts as
-// answered or failed. No status alone proves that the request did not run.
+// classify returns the verdict on an answer of a target, with the reason why it is invalid. Only the server's own answer counts as answered or
+// failed. No status alone proves that the request did not run.
 func (t *Transport) classify(target header.Target, a *Answer) (gather.Verdict, error) {
 	notRun := a.Header.Get(t.names.NotRun) != ""
 	switch {
@@ -267,14 +268,31 @@
 		return gather.VerdictMisplaced, nil
 	case notRun:
 		return gather.VerdictRefused, nil
-	case a.Header.Get(t.names.Signature) == "":
-		return gather.VerdictInvalid, errUnsigned
-	case a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices:
+	}
+	if err := t.checkOwn(a); err != nil {
+		return gather.VerdictInvalid, err
+	}
+	if a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices {
 		return gather.VerdictAnswered, nil
 	}
 	return gather.VerdictFailed, nil
 }
 
+// checkOwn returns an error unless an answer is its server's own: signed once, in a form that a list of signatures can hold, and with a body as the server
+// made it, without an encoding.
+func (t *Transport) checkOwn(a *Answer) error {
+	signatures := a.Header[t.names.Signature]
+	switch {
+	case len(signatures) == 0 || signatures[0] == "":
+		return errUnsigned
+	case len(signatures) > 1 || strings.ContainsAny(signatures[0], ", \t"):
+		return errSignatures
+	case len(a.Header["Content-Encoding"]) > 0:
+		return errEncoded
+	}
+	return nil
+}
+
 // namesOther reports whether an answer names another server than the target, which is the only one that may run the request.
 func (t *Transport) namesOther(target header.Target, a *Answer) bool {
 	server := a.Header.Get(t.names.Server)
