edge: a part with the signature of another part doesn't count

Callers would see: a success from all shards that covers fewer of them than the route wants, where servers of several shards sign with the same signature.

Cause: parts with equal signatures were merged once, but after the decision that enough parts are in.

Change: the second of them is invalid when it arrives, so that coverage is true and the shard's other server is asked. The check at the merge is gone.

Test: platform TestSameSignature, on the code before: unsigned_test.go:55: request r1: status 200 (...), want 502

Measured: TestSameSignature, TestSpoiledAnswers, TestFailingServers, TestRequests, TestHeldAnswers, TestSoak and tests of edge pass.

--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/base/sets"
 	"kumquatreel.example/kumquatreel/internal/base/status"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 	"kumquatreel.example/kumquatreel/internal/tier/gather"
@@ -150,7 +151,9 @@
 	cancel      context.CancelFunc
 	running     sync.WaitGroup
 	sends       []sentAttempt
-	out         outcome
+	// signatures holds those of the parts that have been answered.
+	signatures sets.Set[string]
+	out        outcome
 }
 
 // sentAttempt is an attempt with the permit that cancels it as long as it has not been written.
@@ -164,6 +167,7 @@
 	j.results = make(chan attemptResult, shards*resultsPerPart)
 	j.attemptsCtx, j.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	j.out.parts = make([]*link.Answer, shards)
+	j.signatures = make(sets.Set[string], shards)
 	j.start(j.state.Start(time.Now(), j.chooser))
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -189,7 +193,10 @@
 	}
 }
 
-var errPanic = errors.New("panic in a call to a server")
+var (
+	errPanic         = errors.New("panic in a call to a server")
+	errSameSignature = errors.New("another part has the same signature")
+)
 
 // resultsPerPart is the buffer size for the results of one part. Package gather makes fewer attempts per part.
 const resultsPerPart = 8
@@ -258,8 +265,14 @@
 
 func (j *job) handleResult(f attemptResult) {
 	now := time.Now()
+	answered := f.res.Verdict == gather.VerdictAnswered && !j.state.Answered(f.send.Shard)
+	if answered && !j.claimSignature(f.res.Answer) {
+		answered = false
+		f.res.Verdict, f.res.Err = gather.VerdictInvalid, errSameSignature
+		j.edge.logAttempt(j.rq, f.send, f.res, now.Sub(j.rq.arrived))
+	}
 	switch {
-	case f.res.Verdict == gather.VerdictAnswered && !j.state.Answered(f.send.Shard):
+	case answered:
 		j.out.parts[f.send.Shard] = f.res.Answer
 	case f.res.Verdict == gather.VerdictFailed && !status.NotRun(f.res.Answer.Status):
 		j.out.lastFailed.Release()
@@ -273,6 +286,12 @@
 	j.start(j.state.AttemptEnded(now, gather.AttemptResult{Shard: f.send.Shard, Attempt: f.send.Attempt, Verdict: f.res.Verdict}, j.chooser))
 }
 
+// claimSignature records the signature of the answer to a part, or returns false if another part has an answer with the same one: at most one of the
+// two is the answer of its part, and a client that finds an entry twice takes none of them.
+func (j *job) claimSignature(a *link.Answer) bool {
+	return j.signatures.Add(a.Header.Get(j.edge.names.Signature))
+}
+
 func (j *job) attempt(s gather.Send, permit *link.Permit) {
 	defer j.running.Done()
 	e := j.edge
--- a/internal/tier/edge/serve.go
+++ b/internal/tier/edge/serve.go
@@ -256,22 +256,15 @@
 	}
 }
 
-// writeMerged merges the answers of the shards and writes the result to the client. Answers with equal signatures are
-// merged once.
+// writeMerged merges the answers of the shards and writes the result to the client.
 func (e *Edge) writeMerged(w http.ResponseWriter, rq *request, out outcome) {
 	merger := topk.New(rq.route.TopK())
 	signatures := make([]string, 0, len(out.parts))
-	seen := make(map[string]bool, len(out.parts))
 	for _, p := range out.parts {
 		if p == nil {
 			continue
 		}
-		s := p.Header.Get(e.names.Signature)
-		if seen[s] {
-			continue
-		}
-		seen[s] = true
-		signatures = append(signatures, s)
+		signatures = append(signatures, p.Header.Get(e.names.Signature))
 		merger.Add(p.Body)
 	}
 	body := merger.Bytes()
