table: a configuration costs by its size, not by the pairs of its routes

Cause: table.New listed for each route all others to some of the same services, for each version. Evidence: 4,900 routes to one service took 3.5 s and 2.2 GB in BenchmarkNew; also, the services of a split were copied once for each of them (417 MB for 4,900).

Change: for each service and priority the two routes with the shortest target latencies are kept, all that UrgentTarget asks for; services() is an iterator.

--- a/internal/tier/table/table.go
+++ b/internal/tier/table/table.go
@@ -102,14 +102,19 @@
 		config: c, hosts: make(map[string][]*Route), services: make(map[ident.Service]ServiceConfig, len(c.Services)),
 		keys: make(map[string]*Team), teams: make(map[ident.Team]*Team, len(c.Teams)),
 	}
-	for _, r := range c.Routes {
+	routes := make([]*Route, len(c.Routes))
+	for i, r := range c.Routes {
 		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], &Route{config: r})
+		routes[i] = &Route{config: r}
+		t.hosts[host] = append(t.hosts[host], routes[i])
 	}
-	for _, routes := range t.hosts {
-		slices.SortStableFunc(routes, func(x, y *Route) int { return cmp.Compare(len(y.config.Prefix), len(x.config.Prefix)) })
+	for _, all := range t.hosts {
+		slices.SortStableFunc(all, func(x, y *Route) int { return cmp.Compare(len(y.config.Prefix), len(x.config.Prefix)) })
+	}
+	urgencies := indexUrgency(routes)
+	for _, r := range routes {
+		r.urgency = urgencies
 	}
-	t.findRivals()
 	for _, s := range c.Services {
 		t.services[s.Name] = s
 	}
@@ -122,31 +127,6 @@
 	return t
 }
 
-// findRivals records for each route the other routes whose requests go to some of the same servers.
-func (t *Table) findRivals() {
-	byService := make(map[ident.Service][]*Route)
-	for _, routes := range t.hosts {
-		for _, r := range routes {
-			for _, s := range r.services() {
-				byService[s] = append(byService[s], r)
-			}
-		}
-	}
-	for _, routes := range t.hosts {
-		for _, r := range routes {
-			found := map[*Route]bool{r: true}
-			for _, s := range r.services() {
-				for _, other := range byService[s] {
-					if !found[other] {
-						found[other] = true
-						r.rivals = append(r.rivals, other)
-					}
-				}
-			}
-		}
-	}
-}
-
 func (t *Table) addTeam(c TeamConfig) {
 	team := &Team{config: c}
 	t.teams[c.Name] = team
@@ -195,32 +175,8 @@
 // Route is one route of a table.
 type Route struct {
 	config RouteConfig
-	// rivals are the other routes to some of the same services.
-	rivals []*Route
-}
-
-// services returns all services that a request of the route may go to.
-func (r *Route) services() []ident.Service {
-	out := r.config.Shards
-	if r.config.Service != "" {
-		out = append(slices.Clone(out), r.config.Service)
-	}
-	for _, s := range r.config.Split {
-		out = append(slices.Clone(out), s.Service)
-	}
-	return out
-}
-
-// UrgentTarget returns the shortest target latency of the routes that share servers with this one and are more urgent than a priority, or 0 if
-// there is none.
-func (r *Route) UrgentTarget(priority int) time.Duration {
-	shortest := time.Duration(0)
-	for _, o := range r.rivals {
-		if target := o.TargetLatency(); o.Priority() < priority && target > 0 && (shortest == 0 || target < shortest) {
-			shortest = target
-		}
-	}
-	return shortest
+	// urgency holds that of each service; all routes of a table share it.
+	urgency map[ident.Service]*urgency
 }
 
 // Name returns the route's name.
--- a/internal/tier/table/table_test.go
+++ b/internal/tier/table/table_test.go
@@ -1,6 +1,9 @@
 package table_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,6 +95,59 @@
 	}
 }
 
+// assertUrgentTargets compares the urgent targets of all routes with those found by looking at each pair of routes.
+func assertUrgentTargets(t *testing.T, routes []table.RouteConfig, priorities int) {
+	t.Helper()
+	tab := table.New(table.Config{Routes: routes})
+	services := func(r table.RouteConfig) []ident.Service {
+		out := append([]ident.Service{r.Service}, r.Shards...)
+		for _, s := range r.Split {
+			out = append(out, s.Service)
+		}
+		return out
+	}
+	for i, r := range routes {
+		for p := range priorities + 1 {
+			want := time.Duration(0)
+			for j, o := range routes {
+				shared := slices.ContainsFunc(services(o), func(s ident.Service) bool { return s != "" && slices.Contains(services(r), s) })
+				if i != j && shared && o.Priority < p && o.TargetLatency > 0 && (want == 0 || o.TargetLatency < want) {
+					want = o.TargetLatency
+				}
+			}
+			if got := tab.Match(r.Host, r.Prefix).UrgentTarget(p); got != want {
+				t.Fatalf("route %s, priority %d: target latency is %d, want %d; routes %+v", r.Name, p, got, want, routes)
+			}
+		}
+	}
+}
+
+// Routes share services in any way: an index must find what a look at each pair of routes finds.
+func TestUrgentTargets(t *testing.T) {
+	const priorities = 4
+	rng := rand.New(rand.NewPCG(1, 2))
+	service := func() ident.Service { return ident.Service(rune('a' + rng.IntN(6))) }
+	for range 300 {
+		routes := make([]table.RouteConfig, 1+rng.IntN(8))
+		for i := range routes {
+			r := &routes[i]
+			*r = table.RouteConfig{
+				Name: ident.Route(rune('0' + i)), Host: "h", Prefix: fmt.Sprintf("/%d/", i), Priority: rng.IntN(priorities),
+				TargetLatency: time.Duration(rng.IntN(5)),
+			}
+			switch rng.IntN(3) {
+			case 0:
+				r.Service = service()
+			case 1:
+				r.Shards = []ident.Service{service(), service(), service()}
+			case 2:
+				r.Split = []table.WeightedService{{Service: service(), Weight: 1}, {Service: service(), Weight: 2}}
+			}
+		}
+		assertUrgentTargets(t, routes, priorities)
+	}
+}
+
 func TestUrgentTarget(t *testing.T) {
 	tab := table.New(table.Config{Routes: []table.RouteConfig{
 		{Name: "sweep", Host: "h", Prefix: "/sweep/", Priority: 2, TargetLatency: 300, Shards: []ident.Service{"a", "b"}},
