mirror, edge: a configuration that can't be used is said to be unused

Callers and operators saw: nothing. A configuration that can't be read, goes back to a lower version or is removed left the one in force without a line in the log or on a page. A VM that had read it before the usable one kept it and had no configuration.

Cause: mirror keeps a known version against states without one and reported nothing; at the same revision the first state stayed, also if only the second, which another VM has kept, had a version.

Change: Mirror.Refused returns such states; the VM logs "item ignored" with revision and reason, and its beliefs name the last one. At the same revision a state without a version gives way to one with a version.

--- a/internal/tier/belief/belief.go
+++ b/internal/tier/belief/belief.go
@@ -106,6 +106,15 @@
 	// Watching says that this VM watches the store, Holding that it holds items which the store has lost.
 	Watching bool `json:"watching"`
 	Holding  bool `json:"holding"`
+	// Refused is the last configuration that could not be used since the one in force was published, nil if there is none.
+	Refused *Refused `json:"refused,omitempty"`
+}
+
+// Refused is a published configuration that the VM does not use.
+type Refused struct {
+	Key      string `json:"key"`
+	Revision int64  `json:"revision"`
+	Reason   string `json:"reason"`
 }
 
 // Page holds the beliefs of a VM.
--- a/internal/tier/belief/print.go
+++ b/internal/tier/belief/print.go
@@ -14,8 +14,12 @@
 func Print(w io.Writer, p Page) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "VM %s at %s\n", p.VM, p.At.UTC().Format(time.RFC3339Nano))
-	fmt.Fprintf(&b, "store: era %d, revision %d, configuration %d, watching %v, holding %v\n\n", p.Store.Era, p.Store.Revision,
+	fmt.Fprintf(&b, "store: era %d, revision %d, configuration %d, watching %v, holding %v\n", p.Store.Era, p.Store.Revision,
 		p.Store.ConfigVersion, p.Store.Watching, p.Store.Holding)
+	if r := p.Store.Refused; r != nil {
+		fmt.Fprintf(&b, "%s at revision %d is not used: %s\n", r.Key, r.Revision, r.Reason)
+	}
+	fmt.Fprintln(&b)
 	fmt.Fprintln(&b, "SERVER\tSERVICE\tDOMAIN\tADDRESS\tREVISION\tIN FLIGHT\tLOAD\tGETS NO REQUESTS, OR ONLY THE LAST")
 	for _, s := range p.Servers {
 		fmt.Fprintf(&b, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", s.Server, s.Service, s.Domain, s.Address, s.Revision, s.InFlight, load(s.Load),
--- a/internal/tier/belief/print_test.go
+++ b/internal/tier/belief/print_test.go
@@ -13,7 +13,9 @@
 func TestPrint(t *testing.T) {
 	var b bytes.Buffer
 	err := belief.Print(&b, belief.Page{
-		VM: "vm0", At: time.Unix(1700000000, 0), Store: belief.Store{Era: 1, Revision: 40, ConfigVersion: 3, Watching: true},
+		VM: "vm0", At: time.Unix(1700000000, 0), Store: belief.Store{Era: 1, Revision: 40, ConfigVersion: 3, Watching: true, Refused: &belief.Refused{
+			Key: "config", Revision: 41, Reason: "its version is lower than the one in force",
+		}},
 		Servers: []belief.Server{
 			{Server: "i-1", Service: "books", Domain: "north", Address: "127.0.0.1:80", Revision: 12, InFlight: 2, Load: &belief.Load{
 				Requests: 3, Pace: 1.5, Source: belief.SourceOtherVM, AgeMs: 310,
--- a/internal/tier/edge/beliefs.go
+++ b/internal/tier/edge/beliefs.go
@@ -43,6 +43,7 @@
 	era, revision := e.position()
 	p := belief.Page{VM: e.settings.Load().Name(), At: now, Store: belief.Store{
 		Era: era, Revision: revision, ConfigVersion: e.dispatch.version(), Watching: e.watching.Load(), Holding: e.holding(),
+		Refused: e.refusedConfig(),
 	}}
 	cut := func(n int) int {
 		p.LeftOut += max(0, n-limit)
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -21,6 +21,7 @@
 	"kumquatreel.example/kumquatreel/internal/limit/escrow"
 	"kumquatreel.example/kumquatreel/internal/limit/hold"
 	"kumquatreel.example/kumquatreel/internal/limit/quota"
+	"kumquatreel.example/kumquatreel/internal/tier/belief"
 	"kumquatreel.example/kumquatreel/internal/tier/delay"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
@@ -90,6 +91,8 @@
 	mirror   mirror.Mirror
 	// settleAt is when items that the store has lost are no longer held, zero if there are none.
 	settleAt time.Time
+	// refused is the last configuration that could not be used since the one in force was published, or nil.
+	refused *belief.Refused
 	// eraAt is when the mirror took over the era of the store, heldAskedAt when this VM last asked another one for what that holds.
 	eraAt, heldAskedAt time.Time
 
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -11,6 +11,7 @@
 	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/limit/quota"
+	"kumquatreel.example/kumquatreel/internal/tier/belief"
 	"kumquatreel.example/kumquatreel/internal/tier/mirror"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
 	"kumquatreel.example/kumquatreel/internal/tier/reader"
@@ -253,10 +254,32 @@
 	} else if e.settleAt.IsZero() || e.mirror.Era() != before {
 		e.settleAt = now.Add(e.settleTime())
 	}
+	for _, it := range e.mirror.Refused() {
+		e.refuseItem(it, from)
+	}
 	e.applyItems(now, changed, from)
 	return len(changed)
 }
 
+// refuseItem records that a later state of a configuration cannot be used, so that the one in force stays. The caller holds the lock of the mirror.
+func (e *Edge) refuseItem(it mirror.Item, from string) {
+	reason := "its version is lower than the one in force"
+	if _, err := e.decode(it); err != nil {
+		reason = err.Error()
+	} else if it.Removed {
+		reason = "it has been removed"
+	}
+	e.refused = &belief.Refused{Key: it.Key, Revision: it.Revision, Reason: reason}
+	e.log.Error(componentStore, "item ignored", "key", it.Key, "revision", it.Revision, "error", reason, "inForce", e.dispatch.version(), "from", from)
+}
+
+// refusedConfig returns the configuration that could not be used since the one in force was published, or nil.
+func (e *Edge) refusedConfig() *belief.Refused {
+	e.mirrorMu.Lock()
+	defer e.mirrorMu.Unlock()
+	return e.refused
+}
+
 // settleTime is how long items that the store has lost are held.
 func (e *Edge) settleTime() time.Duration {
 	return settleIntervals * e.settings.Load().ServerHeartbeat()
@@ -319,6 +342,9 @@
 	d := e.dispatch
 	switch ev := ev.(type) {
 	case source.TablePublished:
+		if e.refused != nil && e.refused.Revision < revision {
+			e.refused = nil
+		}
 		e.applyTable(now, table.New(ev.Text), revision, from)
 	case source.ServerPublished:
 		d.mu.Lock()
--- a/internal/tier/mirror/mirror.go
+++ b/internal/tier/mirror/mirror.go
@@ -56,6 +56,8 @@
 	tombstones      int
 	asOf            int64
 	compactRevision int64
+	// refused holds the later states of items that did not take the place of a known version since the last call of Refused.
+	refused []Item
 }
 
 // Era returns the era of the store that the revisions belong to.
@@ -253,6 +255,13 @@
 	return out
 }
 
+// Refused returns the later states of items, since the last call, that did not take the place of a known one because their version is lower or missing.
+func (m *Mirror) Refused() []Item {
+	out := m.refused
+	m.refused = nil
+	return out
+}
+
 // put stores an item if it is newer than the copy and reports whether it did. The copy is complete up to the given revision, so
 // an item that is unknown and not newer than it has been removed.
 func (m *Mirror) put(it Item, complete int64) bool {
@@ -267,14 +276,18 @@
 	order, versioned := m.compareVersions(old, it)
 	switch {
 	case versioned && order < 0:
+		if it.Revision > old.Revision {
+			m.refused = append(m.refused, it)
+		}
 		old.Revision = max(old.Revision, it.Revision)
 		m.set(old)
 		return false
 	case versioned && order > 0:
 		it.Revision = max(old.Revision, it.Revision)
-	case old.Revision >= it.Revision:
+	case old.Revision > it.Revision, old.Revision == it.Revision && (versioned || !m.hasVersion(it)):
 		return false
 	}
+	// One without a version gives way to the version that another VM has kept at the same revision.
 	m.set(it)
 	return true
 }
--- a/internal/tier/mirror/rebase_test.go
+++ b/internal/tier/mirror/rebase_test.go
@@ -105,6 +105,21 @@
 			assertValue(t, m, "config", c.want)
 		})
 	}
+	t.Run("is taken from another VM by one that has read what cannot be used", func(t *testing.T) {
+		m := newMirror(item("config", "x", 10))
+		m.Merge([]mirror.Item{item("config", "7", 10)}, 10, 10)
+		assertValue(t, m, "config", "7")
+		m.Merge([]mirror.Item{item("config", "x", 10)}, 10, 10)
+		assertValue(t, m, "config", "7")
+	})
+	t.Run("that is refused is reported once", func(t *testing.T) {
+		m := newMirror(item("config", "7", 10))
+		for range 2 {
+			m.Merge([]mirror.Item{item("config", "x", 12)}, 10, 12)
+		}
+		assertKeys(t, m.Refused(), "config")
+		assertKeys(t, m.Refused())
+	})
 	t.Run("stays for VMs that ask for what is new", func(t *testing.T) {
 		m := newMirror(item("config", "7", 10))
 		m.Merge([]mirror.Item{item("config", "6", 12)}, 10, 12)
