Add review case 11: the beginning of a late refusal in front of an answer

Tried: three of five servers begin late copies of 0.04 of their answers, which break off at any byte, in front of the next answer on the connection. Seen: a VM reads the beginning of a refusal and the answer after it as one refusal with the ID of the request. Requests that ran are answered 503, or run at a second server. Without the disruption the rule holds.

--- a/review/harness3/client.go
+++ b/review/harness3/client.go
@@ -21,6 +21,8 @@
 	status int
 	err    error
 	body   []byte
+	// signature is that of the server, if the answer has one.
+	signature string
 }
 
 // send sends a request to a VM on a new connection and reads the answer.
@@ -35,7 +37,7 @@
 	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: budget + 3*time.Second}
 	resp, err := c.Do(req)
 	if err == nil {
-		a.status = resp.StatusCode
+		a.status, a.signature = resp.StatusCode, resp.Header.Get("X-Response-Signature")
 		a.body, err = io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 	}
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -25,6 +25,8 @@
 	"cut":      runCut,
 	"alone":    runAlone,
 	"rollback": runRollback,
+	"splice":   runSplice,
+	"promise":  runPromise,
 }
 
 func main() {
