--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -22,11 +22,11 @@
 
 // cases are the scripts by name. Each returns whether the rule was broken.
 var cases = map[string]func(*bench) bool{
-	"cut":      runCut,
-	"alone":    runAlone,
-	"rollback": runRollback,
-	"splice":   runSplice,
-	"promise":  runPromise,
+	"cut":       runCut,
+	"alone":     runAlone,
+	"forgotten": runForgotten,
+	"splice":    runSplice,
+	"promise":   runPromise,
 }
 
 func main() {
