--- a/review/harness3/splice.go
+++ b/review/harness3/splice.go
@@ -19,7 +19,7 @@
 
 const (
 	// The trouble of the site file: spoiledPart of the answers of numFaulty of numServers servers, for spoilTime, again and again.
-	numServers, numFaulty = 5, 3
+	numServers, numFaulty = 10, 6
 	spoiledPart           = 0.04
 	spoilTime             = 5 * time.Second
 	spoilRounds           = 5
@@ -28,7 +28,7 @@
 	// bookLoad is how many requests a second each VM gets, fullLoad as many as leave the servers without room. One in failEach fails at the service
 	// with a status of its own, 500.
 	bookLoad = 60
-	fullLoad = 100
+	fullLoad = 200
 	failEach = 4
 	bookWork = 8 * time.Millisecond
 	// A server without room: it runs fewSlots requests at a time, each for longWork, and shortQueue more wait.
