Rely on other VMs' word for the store only while the store confirms it

Seen by callers: the three VMs that watch the store are cut from it without a reset, and the key of a team is withdrawn.

Cause: a watcher called itself one until its call had failed, 3.6 s after the cut at the latest, and the others took that for news that nothing had changed.

Now a heartbeat says how long ago the store answered its sender. That confirms the copy of a VM which has all that the sender has, for 1.9 s; after that the VM reads the store itself, in turns by rank, with a first call that returns at once. Watches last 1 s instead of 3 s so that this holds in calm, and changes are announced at once. Package reader decides it: Freshness, Caller, Turn. The log says why a VM that is no watcher calls the store, and a metric and the beliefs page show the age of its copy, which nothing showed before.

TestCalls keeps its bounds on the new model, whose calls may hang too; TestSilentWatchers and TestCalm are new: three calls a second in calm for 1 to 195 VMs, where it was one.

--- a/internal/tier/belief/belief.go
+++ b/internal/tier/belief/belief.go
@@ -103,6 +103,8 @@
 	Era           int64 `json:"era"`
 	Revision      int64 `json:"revision"`
 	ConfigVersion int64 `json:"configVersion"`
+	// AgeMs is the time since the VM's copy of the store was last known to be complete.
+	AgeMs int64 `json:"ageMs"`
 	// Watching says that this VM watches the store, Holding that it holds items which the store has lost.
 	Watching bool `json:"watching"`
 	Holding  bool `json:"holding"`
--- a/internal/tier/belief/print.go
+++ b/internal/tier/belief/print.go
@@ -14,8 +14,8 @@
 func Print(w io.Writer, p Page) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "VM %s at %s\n", p.VM, p.At.UTC().Format(time.RFC3339Nano))
-	fmt.Fprintf(&b, "store: era %d, revision %d, configuration %d, watching %v, holding %v\n", p.Store.Era, p.Store.Revision,
-		p.Store.ConfigVersion, p.Store.Watching, p.Store.Holding)
+	fmt.Fprintf(&b, "store: era %d, revision %d, configuration %d, complete %v ago, watching %v, holding %v\n", p.Store.Era, p.Store.Revision,
+		p.Store.ConfigVersion, millis(p.Store.AgeMs), p.Store.Watching, p.Store.Holding)
 	if r := p.Store.Refused; r != nil {
 		fmt.Fprintf(&b, "%s at revision %d is not used: %s\n", r.Key, r.Revision, r.Reason)
 	}
--- a/internal/tier/belief/print_test.go
+++ b/internal/tier/belief/print_test.go
@@ -13,7 +13,7 @@
 func TestPrint(t *testing.T) {
 	var b bytes.Buffer
 	err := belief.Print(&b, belief.Page{
-		VM: "vm0", At: time.Unix(1700000000, 0), Store: belief.Store{Era: 1, Revision: 40, ConfigVersion: 3, Watching: true, Refused: &belief.Refused{
+		VM: "vm0", At: time.Unix(1700000000, 0), Store: belief.Store{Era: 1, Revision: 40, ConfigVersion: 3, AgeMs: 850, Watching: true, Refused: &belief.Refused{
 			Key: "config", Revision: 41, Reason: "its version is lower than the one in force",
 		}},
 		Servers: []belief.Server{
--- a/internal/tier/edge/beliefs.go
+++ b/internal/tier/edge/beliefs.go
@@ -42,7 +42,7 @@
 func (e *Edge) beliefs(now time.Time, service ident.Service, limit int) belief.Page {
 	era, revision := e.position()
 	p := belief.Page{VM: e.settings.Load().Name(), At: now, Store: belief.Store{
-		Era: era, Revision: revision, ConfigVersion: e.dispatch.version(), Watching: e.watching.Load(), Holding: e.holding(),
+		Era: era, Revision: revision, ConfigVersion: e.dispatch.version(), AgeMs: e.storeAge(now).Milliseconds(), Watching: e.watching.Load(), Holding: e.holding(),
 		Refused: e.refusedConfig(),
 	}}
 	cut := func(n int) int {
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -28,6 +28,7 @@
 	"kumquatreel.example/kumquatreel/internal/tier/logs"
 	"kumquatreel.example/kumquatreel/internal/tier/mirror"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
+	"kumquatreel.example/kumquatreel/internal/tier/reader"
 	"kumquatreel.example/kumquatreel/internal/tier/source"
 	"kumquatreel.example/kumquatreel/internal/wire/guard"
 )
@@ -149,6 +150,7 @@
 		fleet: &fleet{
 			peers: peers.New(settings.Name()), ledger: escrow.New(now, settings.Name(), settings.FirstStart()), rng: fork(rng), codec: codec,
 			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
+			fresh:  reader.NewFreshness(now), announced: make(chan struct{}, 1),
 		},
 	}
 	e.settings.Store(&settings)
@@ -160,6 +162,7 @@
 	e.keeper = guard.NewKeeper(holdLimits(settings), e.connectionClosed)
 	e.metrics.watchHeld(e.keeper.Held)
 	e.metrics.watchHeldBytes(links.HeldBytes)
+	e.metrics.watchStoreAge(func() time.Duration { return e.storeAge(time.Now()) })
 	e.cleanups = append(e.cleanups, closeLinks, closeWorkers)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cleanups = append(e.cleanups, cancel)
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -11,13 +11,13 @@
 
 	"github.com/cockroachdb/errors"
 
-	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/base/sets"
 	"kumquatreel.example/kumquatreel/internal/limit/escrow"
 	"kumquatreel.example/kumquatreel/internal/limit/pacer"
 	"kumquatreel.example/kumquatreel/internal/tier/assign"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
+	"kumquatreel.example/kumquatreel/internal/tier/reader"
 )
 
 const (
@@ -68,11 +68,33 @@
 	outsideReplyAt time.Time
 	// fetching is set while updates are being fetched from another VM.
 	fetching bool
+	// fresh is what is known of the age of the mirror.
+	fresh reader.Freshness
+	// announced is sent to when a heartbeat is due at once.
+	announced chan struct{}
+}
+
+// announce makes the VM send a heartbeat at once, so that news of the store pass on without waiting for the next one.
+func (e *Edge) announce() {
+	select {
+	case e.fleet.announced <- struct{}{}:
+	default:
+	}
 }
 
 // gossip sends heartbeats until ctx ends.
 func (e *Edge) gossip(ctx context.Context) {
-	for n := 0; clock.Sleep(ctx, gossipInterval); n++ {
+	timer := time.NewTimer(gossipInterval)
+	defer timer.Stop()
+	for n := 0; ctx.Err() == nil; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.fleet.announced:
+			e.sendHeartbeats(false)
+			continue
+		case <-timer.C:
+		}
 		e.tickMembership()
 		e.quotaMu.Lock()
 		nearLimit := e.quota.NearLimit(time.Now())
@@ -80,6 +102,8 @@
 		if nearLimit || n%calmIntervals == 0 {
 			e.sendHeartbeats(false)
 		}
+		n++
+		timer.Reset(gossipInterval)
 	}
 }
 
@@ -197,14 +221,19 @@
 		phase = peers.PhaseReady
 	}
 	s := e.settings.Load()
-	era, revision := e.position()
 	e.fleet.mu.Lock()
 	claim := e.fleet.ledger.Claim()
+	readAge := int64(0)
+	if age, ok := e.fleet.fresh.ReadAge(now); ok {
+		readAge = max(1, age.Milliseconds())
+	}
 	e.fleet.mu.Unlock()
+	// The revision is read after the time of the last read, so that it covers that.
+	era, revision := e.position()
 	return peers.Digest{
 		VM: s.Name(), Address: s.Address(), Domain: s.Domain(), Region: s.Region(), Boot: e.boot, Phase: phase,
 		CPUShare: s.CPUShare(), Load: e.load.rate(now), Unhealthy: e.health.unhealthy(now), Era: era, Revision: revision,
-		ConfigVersion: e.dispatch.version(), Holding: e.holding(), WatchesStore: e.watching.Load(), Teams: teams,
+		ConfigVersion: e.dispatch.version(), Holding: e.holding(), WatchesStore: e.watching.Load(), ReadAgeMs: readAge, Teams: teams,
 		Part: claim.Part, PartSettled: claim.Settled,
 	}
 }
--- a/internal/tier/edge/meter.go
+++ b/internal/tier/edge/meter.go
@@ -102,6 +102,13 @@
 	}, func() float64 { return float64(held()) }))
 }
 
+// watchStoreAge adds a metric of the age of the copy of the store.
+func (m *meter) watchStoreAge(age func() time.Duration) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "kumquatreel_edge_store_age_seconds", Help: "Time since the copy of the store was last known to be complete.",
+	}, func() float64 { return age().Seconds() }))
+}
+
 // watchHeld adds metrics of what callers make the VM hold, by stage.
 func (m *meter) watchHeld(held func(hold.Stage) (int64, int)) {
 	for _, s := range hold.StageValues() {
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -20,11 +20,6 @@
 )
 
 const (
-	// watchTimeout is how long the store holds a watch call open while there are no changes. If the answer takes longer by
-	// watchMargin, the call fails and the VM counts as partitioned from the store.
-	watchTimeout = 3 * time.Second
-	// watchMargin is the time that a watch call may take beyond watchTimeout.
-	watchMargin = 600 * time.Millisecond
 	// watchBatchDelay is the pause after changes, so that changes in quick succession arrive in one call.
 	watchBatchDelay = 120 * time.Millisecond
 	// firstPageTimeout bounds the first call for a page; the timeout doubles with each further call. So a lost call is
@@ -49,16 +44,14 @@
 // VMs.
 func (e *Edge) syncMirror(ctx context.Context) {
 	var failedAt time.Time
-	watchedAt := e.started
+	var caller reader.Caller
 	for ctx.Err() == nil {
 		now := time.Now()
 		t := e.turn(now)
-		if t.Watched {
-			watchedAt = now
-		}
-		t.Failed, t.SinceFailure, t.Unwatched = !failedAt.IsZero(), now.Sub(failedAt), now.Sub(watchedAt)
+		t.Failed, t.SinceFailure = !failedAt.IsZero(), now.Sub(failedAt)
 		if wait, may := t.Wait(); wait > 0 || !may {
 			e.setWatching(false, nil)
+			caller.Pause()
 			interval := turnInterval
 			if t.Empty {
 				interval = startTurnInterval
@@ -69,7 +62,11 @@
 			clock.Sleep(ctx, interval)
 			continue
 		}
-		err := e.syncOnce(ctx)
+		if t.Rank >= reader.NumWatchers && !t.Watching && !t.Empty {
+			e.log.Info(componentStore, "no other VM confirms the copy of the store, reading it", "unconfirmedMs", ms(t.Unconfirmed), "unwatchedMs",
+				ms(t.Unwatched), "rank", t.Rank, "failed", t.Failed)
+		}
+		err := e.syncOnce(ctx, &caller)
 		if ctx.Err() != nil {
 			return
 		}
@@ -83,28 +80,35 @@
 
 // syncOnce reads the complete store if the mirror is empty or the store's history is gone, and otherwise waits for one
 // batch of changes.
-func (e *Edge) syncOnce(ctx context.Context) error {
+func (e *Edge) syncOnce(ctx context.Context, caller *reader.Caller) error {
 	era, since := e.position()
 	if since == 0 {
 		return e.readAll(ctx)
 	}
-	wctx, cancel := context.WithTimeout(ctx, watchTimeout+watchMargin)
+	call, began := caller.Next(), time.Now()
+	wctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
-	batch, err := e.store.Watch(wctx, since, watchTimeout)
+	batch, err := e.store.Watch(wctx, since, call.Wait)
 	e.metrics.storeCall(err)
 	if errors.Is(err, source.ErrCompacted) {
 		e.log.Warn(componentStore, "store history is gone, reading everything again", "since", since)
 		return e.readAll(ctx)
 	}
 	if err != nil {
+		caller.Failed(call, time.Since(began))
 		return errors.Errorf("watch store: %w", err)
 	}
 	if batch.Era != era {
 		e.log.Warn(componentStore, "store has another era, reading everything again", "era", batch.Era, "before", era, "since", since)
 		return e.readAll(ctx)
 	}
+	readAt := began.Add(caller.Answered(call, time.Since(began)))
 	e.applyUpdate(mirror.Update{Era: batch.Era, Items: batch.Items, Since: since, AsOf: batch.AsOf, Watched: true}, "store")
+	e.fleet.mu.Lock()
+	e.fleet.fresh.Read(readAt)
+	e.fleet.mu.Unlock()
 	if len(batch.Items) > 0 {
+		e.announce()
 		clock.Sleep(ctx, watchBatchDelay)
 	}
 	return nil
@@ -164,8 +168,9 @@
 func (e *Edge) turn(now time.Time) reader.Turn {
 	self := e.settings.Load().Name()
 	c := e.core()
+	era, revision := e.position()
 	t := reader.Turn{
-		Alone: true, Watching: e.watching.Load(), Empty: e.revision() == 0, Age: now.Sub(e.started), First: e.readsFirst(),
+		Alone: true, Watching: e.watching.Load(), Empty: revision == 0, Age: now.Sub(e.started), First: e.readsFirst(),
 		Demanded: e.dispatch.awaiting.Load() > 0,
 		Spread:   float64(ident.Score("reader", string(self))%1024) / 1024,
 	}
@@ -175,11 +180,15 @@
 	} else {
 		others = append(others, self)
 	}
+	watched := false
 	e.fleet.mu.Lock()
 	for _, m := range e.fleet.peers.Alive(now) {
 		d := m.Digest()
 		t.Alone = false
-		t.Watched = t.Watched || d.WatchesStore
+		watched = watched || d.WatchesStore
+		if at, ok := m.ReadAt(); ok && d.Era == era && d.Revision <= revision {
+			e.fleet.fresh.Hear(at)
+		}
 		switch {
 		case d.Phase == peers.PhaseLeaving:
 		case c.Has(d.VM):
@@ -188,6 +197,9 @@
 			others = append(others, d.VM)
 		}
 	}
+	fresh := &e.fleet.fresh
+	fresh.Observe(now, watched)
+	t.Unconfirmed, t.Unwatched = fresh.Unconfirmed(now), fresh.Unwatched(now)
 	e.fleet.mu.Unlock()
 	if c.IncludesSelf() {
 		t.Rank = slices.Index(ident.Rank("reader", core), self)
@@ -203,11 +215,12 @@
 	return slices.Contains(ranked[:min(reader.NumWatchers, len(ranked))], e.settings.Load().Address())
 }
 
-// setWatching records whether this VM watches the store and logs a change; err is the reason if the watch has failed.
+// setWatching records whether this VM watches the store, logs a change and tells the other VMs of it; err is the reason if the watch has failed.
 func (e *Edge) setWatching(watching bool, err error) {
 	if e.watching.Swap(watching) == watching {
 		return
 	}
+	e.announce()
 	switch {
 	case err != nil:
 		e.log.Warn(componentStore, "store cannot be read", "error", err.Error(), "revision", e.revision())
@@ -218,6 +231,13 @@
 	}
 }
 
+// storeAge returns the time since the mirror was last known to hold all that the store does.
+func (e *Edge) storeAge(now time.Time) time.Duration {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.fleet.fresh.Age(now)
+}
+
 // revision returns the revision of the store up to which the mirror is complete, 0 if it is empty.
 func (e *Edge) revision() int64 {
 	_, revision := e.position()
--- a/internal/tier/peers/peers.go
+++ b/internal/tier/peers/peers.go
@@ -61,8 +61,11 @@
 	ConfigVersion int64 `json:"g,omitempty"`
 	// Holding reports that the process holds items that the store has lost.
 	Holding bool `json:"h,omitempty"`
-	// WatchesStore reports that the process watches the store itself.
+	// WatchesStore reports that the process watches the store itself. The store may have stopped answering it.
 	WatchesStore bool `json:"w,omitempty"`
+	// ReadAgeMs is the time as of which the store last confirmed the revision to the process itself, in milliseconds before the heartbeat. It is
+	// at least 1; 0 means that the process has not read the store.
+	ReadAgeMs int64 `json:"i,omitempty"`
 	// Part is the part of fleet-wide limits that the process uses; PartSettled says that it knows the parts of all others.
 	Part        float64                     `json:"q,omitempty"`
 	PartSettled bool                        `json:"s,omitempty"`
@@ -72,7 +75,12 @@
 // Newer reports whether the process has changes of the store that another one lacks, which is complete up to a revision of an era and
 // has a configuration of the given version in force. A newer configuration at no newer revision is one that the store has lost.
 func (d Digest) Newer(era, revision, version int64) bool {
-	return d.Era > era || d.Era == era && (d.Revision > revision || d.ConfigVersion > version)
+	return d.Lacked(era, revision) || d.Era == era && d.ConfigVersion > version
+}
+
+// Lacked reports whether the process has seen changes of the store that another one lacks, which is complete up to a revision of an era.
+func (d Digest) Lacked(era, revision int64) bool {
+	return d.Era > era || d.Era == era && d.Revision > revision
 }
 
 // Process returns the name of the process: the VM and the start time.
@@ -125,6 +133,15 @@
 // LastHeard returns the time of the last digest; for a relayed digest, the time at which the relaying VM received it.
 func (m Member) LastHeard() time.Time { return m.lastHeard }
 
+// ReadAt returns the time as of which the store last confirmed the member's revision to the member itself. It returns false if that is not known.
+func (m Member) ReadAt() (time.Time, bool) {
+	age := m.digest.ReadAgeMs
+	if age <= 0 || age >= retention.Milliseconds() {
+		return time.Time{}, false
+	}
+	return m.lastHeard.Add(-time.Duration(age) * time.Millisecond), true
+}
+
 // Alive reports whether the last digest is recent and the process has not ended.
 func (m Member) Alive(now time.Time) bool {
 	return now.Sub(m.lastHeard) < aliveTimeout && m.digest.Phase != PhaseGone
--- a/internal/tier/reader/reader.go
+++ b/internal/tier/reader/reader.go
@@ -15,6 +15,14 @@
 	startDelay    = 300 * time.Millisecond
 	maxStartDelay = 1200 * time.Millisecond
 	startSpread   = 300 * time.Millisecond
+	// maxUnconfirmed is how long a VM relies on the last answer of the store that another one had. Watchers have one each watchTime, and the
+	// heartbeats that say so are some tenths of a second apart.
+	maxUnconfirmed = 1900 * time.Millisecond
+	// maxUnwatched is how long it waits when all others say that they don't watch the store: as long as a watcher needs to try again.
+	maxUnwatched = 2 * retryPause
+	// turnPause is the time between the turns of VMs that follow one another by rank. Those whose turn comes after maxTurnPause take it within
+	// as long again.
+	turnPause, maxTurnPause = 60 * time.Millisecond, 750 * time.Millisecond
 )
 
 // Turn describes a VM that may call the store.
@@ -23,8 +31,8 @@
 	Rank int
 	// Alone says that the VM has not heard from any other VM.
 	Alone bool
-	// Watched says that another VM watches the store, Watching that this one does.
-	Watched, Watching bool
+	// Watching says that the VM watches the store.
+	Watching bool
 	// Empty says that the VM has no complete copy of the store yet. Age is the time since its start.
 	Empty bool
 	Age   time.Duration
@@ -37,26 +45,36 @@
 	// SinceFailure is the time since the last failed call, and Failed says that there was one since the last that succeeded.
 	SinceFailure time.Duration
 	Failed       bool
-	// Unwatched is the time since another VM last watched the store.
-	Unwatched time.Duration
+	// Unconfirmed is the time since another VM last confirmed that the copy is complete, and Unwatched the time since one last said that it
+	// watches the store.
+	Unconfirmed, Unwatched time.Duration
 }
 
 // Wait returns how long the VM waits before it may call the store, as far as it knows now, and 0 if it may call now. It returns false if the
 // VM does not call as long as nothing changes.
 func (t Turn) Wait() (time.Duration, bool) {
+	wait := t.untilTurn()
 	switch {
-	case t.Watching && (t.Rank < NumWatchers || !t.Watched):
+	case t.Watching && (t.Rank < NumWatchers || wait == 0):
 		return 0, true
 	case t.Failed:
-		return max(0, t.pause()-t.SinceFailure), t.Empty || t.Rank < NumWatchers || !t.Watched
+		return max(0, t.pause()-t.SinceFailure), t.Empty || t.Rank < NumWatchers || wait == 0
 	case t.Empty:
 		return max(0, t.startDelay()-t.Age), true
 	case t.Rank < NumWatchers:
 		return 0, true
-	case t.Watched:
-		return 0, false
 	}
-	return max(0, t.pause()-t.Unwatched), true
+	return wait, true
+}
+
+// untilTurn returns how long a VM that is no watcher can still rely on the others, 0 if it can't.
+func (t Turn) untilTurn() time.Duration {
+	turn := turnPause * time.Duration(max(1, t.Rank+1-NumWatchers))
+	if turn > maxTurnPause {
+		turn = maxTurnPause + time.Duration(t.Spread*float64(maxTurnPause))
+	}
+	wait := min(maxUnconfirmed-t.Unconfirmed, maxUnwatched-t.Unwatched) + turn
+	return max(0, wait)
 }
 
 // pause returns the time between two calls of the VM while calls fail.
--- a/internal/tier/reader/reader_test.go
+++ b/internal/tier/reader/reader_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -11,83 +10,163 @@
 
 const (
 	step = 10 * time.Millisecond
-	// newsDelay is how long it takes until VMs know of each other, and who watches the store, and hold its updates.
+	// newsDelay is the longest time until VMs know of each other, and what the store has answered to one of them, and hold its updates: that
+	// between two heartbeats.
 	newsDelay = 400 * time.Millisecond
+	// coreSize is the number of VMs that hear from each other at once.
+	coreSize = 12
 	// maxCallsPerSecond bounds the calls of a fleet of any size, and maxStart those of a start of all VMs.
 	maxCallsPerSecond, maxStart = 150, 20
 	// maxDelay bounds the time until all VMs follow a store that can be read.
 	maxDelay = 3 * time.Second
 )
 
+// service is what the store does with the calls of a VM.
+type service int
+
+const (
+	serves service = iota
+	// refuses fails calls at once, hangs leaves them without an answer.
+	refuses
+	hangs
+)
+
 // fleet simulates the calls of VMs that are ranked by number.
 type fleet struct {
 	vms []*vm
 	now time.Duration
-	// serves reports whether the store serves a VM.
-	serves func(vm int, now time.Duration) bool
-	calls  int
-	// watchedAt is when a VM last watched the store, and since is since when one has.
-	watchedAt, since time.Duration
+	// store returns what the store does with the calls of a VM.
+	store func(vm int, now time.Duration) service
+	calls int
+	// outsideDelay is newsDelay for the VMs outside the core group.
+	outsideDelay time.Duration
+	// answers are the answers of the store that the VMs tell each other of.
+	answers []answer
+}
+
+// answer tells the VMs, at a time, that the copies were complete as of another one.
+type answer struct {
+	vm       int
+	told, as time.Duration
 }
 
 type vm struct {
-	started, failedAt time.Duration
-	failed, watching  bool
-	empty             bool
+	caller            reader.Caller
+	call              reader.Call
+	began, failedAt   time.Duration
+	calling, watching bool
+	failed, empty     bool
+	watchedAt         time.Duration
+	// own and others are when the copy is known to have been complete from the VM's calls and from others.
+	own, others time.Duration
 }
 
-func newFleet(n int, empty bool, serves func(int, time.Duration) bool) *fleet {
-	f := &fleet{serves: serves}
+func newFleet(n int, empty bool, store func(int, time.Duration) service) *fleet {
+	f := &fleet{store: store, outsideDelay: newsDelay}
 	for range n {
-		f.vms = append(f.vms, &vm{empty: empty})
+		f.vms = append(f.vms, &vm{empty: empty, own: -1, others: 0})
 	}
 	return f
 }
 
-// run simulates until a time and returns when all VMs follow the store, 0 if they do not.
-func (f *fleet) run(until time.Duration) (followed time.Duration) {
+// run simulates until a time, and returns when the copies of all VMs of which included reports true are known to be complete as of another time,
+// 0 if they are not.
+func (f *fleet) run(until, asOf time.Duration, included func(vm int) bool) (followed time.Duration) {
 	for ; f.now < until; f.now += step {
-		watched := false
+		current := true
 		for i, v := range f.vms {
+			f.hear(i, v)
 			f.step(i, v)
-			watched = watched || v.watching
+			current = current && (!included(i) || !v.empty && max(v.own, v.others) > asOf)
 		}
-		if watched {
-			f.watchedAt = f.now
-		} else {
-			f.since = f.now + step
-		}
-		if f.known() {
-			for _, v := range f.vms {
-				v.empty = false
-			}
-			if followed == 0 {
-				followed = f.now
-			}
+		if current && followed == 0 {
+			followed = f.now
 		}
 	}
 	return followed
 }
 
-// known reports whether the VMs have heard that the store is watched.
-func (f *fleet) known() bool { return f.now-f.since > newsDelay }
+// newsTo returns how long news take to a VM.
+func (f *fleet) newsTo(vm int) time.Duration {
+	if vm < coreSize {
+		return newsDelay
+	}
+	return f.outsideDelay
+}
+
+// unwatched returns the time since a VM last heard that another one watches the store.
+func (f *fleet) unwatched(vm int) time.Duration {
+	last := time.Duration(0)
+	for i, o := range f.vms {
+		if i != vm {
+			last = max(last, min(f.now, o.watchedAt+f.newsTo(vm)))
+		}
+	}
+	return f.now - last
+}
+
+// hear tells a VM of the answers that the others have had.
+func (f *fleet) hear(i int, v *vm) {
+	for _, a := range f.answers {
+		if at := a.told + f.newsTo(i); a.vm != i && at <= f.now && f.now < at+2*step {
+			v.others, v.empty = max(v.others, a.as), false
+		}
+	}
+}
 
 func (f *fleet) step(i int, v *vm) {
-	others := slices.ContainsFunc(f.vms, func(o *vm) bool { return o != v && o.watching })
+	if v.watching {
+		v.watchedAt = f.now
+	}
+	if v.calling {
+		f.end(i, v)
+	}
+	if v.calling {
+		return
+	}
 	t := reader.Turn{
-		Rank: i, Alone: f.now < newsDelay/4, Watched: f.known() && others, Watching: v.watching, Empty: v.empty, Age: f.now - v.started, First: i < reader.NumWatchers,
-		Spread: float64(i*7%100) / 100, Failed: v.failed, SinceFailure: f.now - v.failedAt, Unwatched: f.now - f.watchedAt,
+		Rank: i, Alone: f.now < newsDelay/4, Watching: v.watching, Empty: v.empty, Age: f.now, First: i < reader.NumWatchers,
+		Spread: float64(i*7%100) / 100, Failed: v.failed, SinceFailure: f.now - v.failedAt, Unconfirmed: f.now - v.others,
+		Unwatched: f.unwatched(i),
 	}
-	wait, may := t.Wait()
-	switch {
-	case !may || wait > 0:
+	if wait, may := t.Wait(); !may || wait > 0 {
 		v.watching = false
-	case v.watching && f.serves(i, f.now):
-		// A watch waits at the store.
-	default:
-		f.calls++
-		v.failed = !f.serves(i, f.now)
-		v.watching, v.failedAt = !v.failed, f.now
+		v.caller.Pause()
+		return
+	}
+	f.calls++
+	v.calling, v.call, v.began = true, v.caller.Next(), f.now
+	if v.empty {
+		v.call.Wait = 0
+	}
+	f.end(i, v)
+}
+
+// end ends the call of a VM if its time has come.
+func (f *fleet) end(i int, v *vm) {
+	took := f.now - v.began
+	ended, ok := false, false
+	switch f.store(i, f.now) {
+	case serves:
+		ok = took >= v.call.Wait
+		ended = ok
+	case refuses:
+		ended = true
+	case hangs:
+		ended = took >= v.call.Timeout
+	}
+	if !ended {
+		return
+	}
+	v.calling, v.failed, v.watching = false, !ok, ok
+	if !ok {
+		v.caller.Failed(v.call, took)
+		v.failedAt = f.now
+		return
+	}
+	v.empty, v.own = false, v.began+v.caller.Answered(v.call, took)
+	for told := f.now; told < f.now+2*time.Second; told += newsDelay {
+		f.answers = append(f.answers, answer{i, told, v.own})
 	}
 }
 
@@ -99,14 +178,16 @@
 	t.Logf("%d calls of %d VMs", f.calls, len(f.vms))
 }
 
-func always(int, time.Duration) bool { return true }
+func all(int) bool { return true }
+
+func always(int, time.Duration) service { return serves }
 
 // The store's calls must not grow with the fleet when the store is in need, and every VM must follow it soon after it can be read.
 func TestCalls(t *testing.T) {
 	for _, n := range []int{1, 9, 81, 195} {
 		t.Run(fmt.Sprintf("%d VMs start together", n), func(t *testing.T) {
 			f := newFleet(n, true, always)
-			if at := f.run(5 * time.Second); at == 0 || at > maxDelay {
+			if at := f.run(5*time.Second, 0, all); at == 0 || at > maxDelay {
 				t.Errorf("all VMs have the configuration after %v, want %v at most", at, maxDelay)
 			}
 			assertCalls(t, f, maxStart)
@@ -114,22 +195,94 @@
 		for name, empty := range map[string]bool{"running": false, "starting": true} {
 			t.Run(fmt.Sprintf("%d %s VMs, the store is away for 6.3 s and comes back", n, name), func(t *testing.T) {
 				const away = 6300 * time.Millisecond
-				f := newFleet(n, empty, func(_ int, now time.Duration) bool { return now > away })
-				if at := f.run(away + 5*time.Second); at < away || at > away+maxDelay {
+				f := newFleet(n, empty, func(_ int, now time.Duration) service {
+					if now > away {
+						return serves
+					}
+					return refuses
+				})
+				if at := f.run(away+5*time.Second, away, all); at < away || at > away+maxDelay {
 					t.Errorf("all VMs follow the store at %v, want between %v and %v", at, away, away+maxDelay)
 				}
 				assertCalls(t, f, int(maxCallsPerSecond*away.Seconds()))
 			})
 		}
 		t.Run(fmt.Sprintf("%d VMs, the store turns all away but the last", n), func(t *testing.T) {
-			f := newFleet(n, false, func(vm int, _ time.Duration) bool { return vm == n-1 })
-			if at := f.run(10 * time.Second); at == 0 || at > maxDelay {
+			f := newFleet(n, false, func(vm int, _ time.Duration) service {
+				if vm == n-1 {
+					return serves
+				}
+				return refuses
+			})
+			if at := f.run(10*time.Second, 0, all); at == 0 || at > maxDelay {
 				t.Errorf("all VMs follow the store after %v, want %v at most", at, maxDelay)
 			}
 		})
 	}
 }
 
+// The VMs that watch the store are cut from it without a word. Each other VM must know within maxDelay what the store has held since then.
+func TestSilentWatchers(t *testing.T) {
+	for _, n := range []int{4, 9, 81, 195} {
+		for cutVMs := reader.NumWatchers; cutVMs < min(n, 7); cutVMs++ {
+			t.Run(fmt.Sprintf("%d of %d VMs", cutVMs, n), func(t *testing.T) {
+				const cutAt = 7400 * time.Millisecond
+				f := newFleet(n, false, func(vm int, now time.Duration) service {
+					if vm < cutVMs && now > cutAt {
+						return hangs
+					}
+					return serves
+				})
+				f.outsideDelay = 2 * newsDelay
+				if at := f.run(cutAt+5*time.Second, cutAt, func(vm int) bool { return vm >= cutVMs }); at == 0 || at > cutAt+maxDelay {
+					t.Errorf("the VMs follow the store %v after the cut, want %v at most", at-cutAt, maxDelay)
+				} else {
+					t.Logf("after %v", at-cutAt)
+				}
+			})
+		}
+	}
+}
+
+// In calm the first VMs alone call the store, each once in the time of a watch.
+func TestCalm(t *testing.T) {
+	for _, n := range []int{1, 9, 68, 195} {
+		t.Run(fmt.Sprintf("%d VMs", n), func(t *testing.T) {
+			const span = 60 * time.Second
+			f := newFleet(n, false, always)
+			f.run(span, 0, all)
+			assertCalls(t, f, reader.NumWatchers*int(span/time.Second)+reader.NumWatchers)
+		})
+	}
+}
+
+// A VM gives up a lost call soon, and leaves a slow store the time that it needs.
+func TestSlowStore(t *testing.T) {
+	var c reader.Caller
+	answered := 0
+	for range 10 {
+		call := c.Next()
+		took := call.Wait + 1500*time.Millisecond
+		if took >= call.Timeout {
+			c.Failed(call, call.Timeout)
+			continue
+		}
+		c.Answered(call, took)
+		answered++
+	}
+	if answered < 8 {
+		t.Errorf("%d of 10 calls are answered by a store that takes 1.5 s, want 8", answered)
+	}
+	for range 10 {
+		call := c.Next()
+		c.Failed(call, call.Timeout)
+	}
+	c.Answered(c.Next(), 10*time.Millisecond)
+	if call := c.Next(); call.Timeout > 2*time.Second {
+		t.Errorf("a call is given up after %v once the store is quick again", call.Timeout)
+	}
+}
+
 func TestTurn(t *testing.T) {
 	assertWait := func(t *testing.T, turn reader.Turn, want time.Duration, may bool) {
 		t.Helper()
@@ -137,11 +290,16 @@
 			t.Errorf("%+v: waits %v, may call %v; want %v, %v", turn, d, ok, want, may)
 		}
 	}
-	t.Run("of a watcher comes at once", func(t *testing.T) { assertWait(t, reader.Turn{Rank: 2, Watched: true}, 0, true) })
-	t.Run("of another does not come while the store is watched", func(t *testing.T) { assertWait(t, reader.Turn{Rank: 3, Watched: true}, 0, false) })
-	t.Run("of one that took over ends when another watches", func(t *testing.T) {
-		assertWait(t, reader.Turn{Rank: 9, Watching: true}, 0, true)
-		assertWait(t, reader.Turn{Rank: 9, Watching: true, Watched: true}, 0, false)
+	t.Run("of a watcher comes at once", func(t *testing.T) { assertWait(t, reader.Turn{Rank: 2}, 0, true) })
+	t.Run("of another comes when nobody has confirmed its copy for long", func(t *testing.T) {
+		assertWait(t, reader.Turn{Rank: 3, Unconfirmed: 1600 * time.Millisecond}, 360*time.Millisecond, true)
+		assertWait(t, reader.Turn{Rank: 3, Unconfirmed: 2 * time.Second}, 0, true)
+	})
+	t.Run("of one that took over ends when another confirms its copy", func(t *testing.T) {
+		assertWait(t, reader.Turn{Rank: 9, Watching: true, Unconfirmed: 3 * time.Second, Unwatched: 3 * time.Second}, 0, true)
+		if wait, _ := (reader.Turn{Rank: 9, Watching: true}).Wait(); wait == 0 {
+			t.Error("it goes on")
+		}
 	})
 	t.Run("of one that is cut off comes at once", func(t *testing.T) { assertWait(t, reader.Turn{Rank: 0, Alone: true}, 0, true) })
 	t.Run("of a new one waits for the others", func(t *testing.T) {
