Fetch updates of the store past connections and VMs that have gone silent

Cause: updates came over one kept connection from one VM at a time. Its silence shows only by the timeout of 1 s, after which the next heartbeat chose the next connection, silent too. Nothing bounded how long a VM knew that it lacked changes.

Each fetch opens a connection now. After 0.4 s another VM is asked too, and a VM that has lacked changes for 1 s reads the store, spread over 0.3 s. So no chain of timeouts is left between a heartbeat and what it announces.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -149,8 +149,7 @@
 		tokensGiven: make(chan struct{}),
 		fleet: &fleet{
 			peers: peers.New(settings.Name()), ledger: escrow.New(now, settings.Name(), settings.FirstStart()), rng: fork(rng), codec: codec,
-			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second}},
-			fresh:  reader.NewFreshness(now), announced: make(chan struct{}, 1),
+			client: newUpdateClient(), fetches: make(map[ident.VM]time.Time), fresh: reader.NewFreshness(now), announced: make(chan struct{}, 1),
 		},
 	}
 	e.settings.Store(&settings)
--- a/internal/tier/edge/fleet.go
+++ b/internal/tier/edge/fleet.go
@@ -66,8 +66,8 @@
 	// outsideReply is the encoded reply to VMs outside the core group as of outsideReplyAt.
 	outsideReply   []byte
 	outsideReplyAt time.Time
-	// fetching is set while updates are being fetched from another VM.
-	fetching bool
+	// fetches holds the VMs from which updates are being fetched, with the start of the fetch.
+	fetches map[ident.VM]time.Time
 	// fresh is what is known of the age of the mirror.
 	fresh reader.Freshness
 	// announced is sent to when a heartbeat is due at once.
@@ -462,7 +462,7 @@
 		e.sendReply(now, m.From)
 	}
 	if e.lacks(now, m.From) {
-		e.startFetch(m.From)
+		e.startFetch(now, m.From)
 	}
 }
 
--- a/internal/tier/edge/fleet_test.go
+++ b/internal/tier/edge/fleet_test.go
@@ -37,7 +37,10 @@
 	e := &Edge{
 		dispatch: newDispatch(time.Now(), settings, rng), metrics: newMeter(), traffic: newTraffic(), quota: quota.New(time.Now(), quota.Bounds{}),
 		started: time.Now(), tokensGiven: make(chan struct{}),
-		fleet: &fleet{peers: peers.New("vm0"), ledger: escrow.New(time.Now(), "vm0", true), rng: rng, codec: codec, conn: conn},
+		fleet: &fleet{
+			peers: peers.New("vm0"), ledger: escrow.New(time.Now(), "vm0", true), rng: rng, codec: codec, conn: conn,
+			client: newUpdateClient(), fetches: make(map[ident.VM]time.Time),
+		},
 	}
 	e.settings.Store(&settings)
 	for i := range n {
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -64,7 +64,7 @@
 		}
 		if t.Rank >= reader.NumWatchers && !t.Watching && !t.Empty {
 			e.log.Info(componentStore, "no other VM confirms the copy of the store, reading it", "unconfirmedMs", ms(t.Unconfirmed), "unwatchedMs",
-				ms(t.Unwatched), "rank", t.Rank, "failed", t.Failed)
+				ms(t.Unwatched), "behindMs", ms(t.Behind), "rank", t.Rank, "failed", t.Failed)
 		}
 		err := e.syncOnce(ctx, &caller)
 		if ctx.Err() != nil {
@@ -180,13 +180,15 @@
 	} else {
 		others = append(others, self)
 	}
-	watched := false
+	watched, behind := false, false
 	e.fleet.mu.Lock()
 	for _, m := range e.fleet.peers.Alive(now) {
 		d := m.Digest()
 		t.Alone = false
 		watched = watched || d.WatchesStore
-		if at, ok := m.ReadAt(); ok && d.Era == era && d.Revision <= revision {
+		if d.Lacked(era, revision) {
+			behind = true
+		} else if at, ok := m.ReadAt(); ok && d.Era == era {
 			e.fleet.fresh.Hear(at)
 		}
 		switch {
@@ -198,8 +200,8 @@
 		}
 	}
 	fresh := &e.fleet.fresh
-	fresh.Observe(now, watched)
-	t.Unconfirmed, t.Unwatched = fresh.Unconfirmed(now), fresh.Unwatched(now)
+	fresh.Observe(now, watched, behind)
+	t.Unconfirmed, t.Unwatched, t.Behind = fresh.Unconfirmed(now), fresh.Unwatched(now), fresh.Behind(now)
 	e.fleet.mu.Unlock()
 	if c.IncludesSelf() {
 		t.Rank = slices.Index(ident.Rank("reader", core), self)
--- a/internal/tier/edge/updates.go
+++ b/internal/tier/edge/updates.go
@@ -20,6 +20,10 @@
 const (
 	// updateTimeout bounds the time to fetch updates from another VM.
 	updateTimeout = time.Second
+	// fetchPatience is the time after which updates that have not arrived are fetched from another VM too, maxFetches bounds the fetches at once:
+	// each may hold the complete store.
+	fetchPatience = 400 * time.Millisecond
+	maxFetches    = 2
 	// maxUpdateSize bounds the size of updates in bytes.
 	maxUpdateSize = 64 << 20
 	// updatesPath is the HTTP path at which VMs serve updates to each other.
@@ -45,19 +49,29 @@
 	return d.Era == era && d.Holding && e.wantsHeld(now)
 }
 
-// startFetch starts to fetch updates from a VM, unless a fetch is already in progress.
-func (e *Edge) startFetch(from peers.Digest) {
+// newUpdateClient returns a client that opens a connection for each fetch: one that has been idle may have gone silent, and only a timeout would
+// show it.
+func newUpdateClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// startFetch starts to fetch updates from a VM, unless they are being fetched from it, or were asked of another one just before.
+func (e *Edge) startFetch(now time.Time, from peers.Digest) {
 	e.fleet.mu.Lock()
-	busy := e.fleet.fetching
-	e.fleet.fetching = true
-	e.fleet.mu.Unlock()
-	if busy {
+	defer e.fleet.mu.Unlock()
+	if len(e.fleet.fetches) >= maxFetches {
 		return
 	}
+	for vm, began := range e.fleet.fetches {
+		if vm == from.VM || now.Sub(began) < fetchPatience {
+			return
+		}
+	}
+	e.fleet.fetches[from.VM] = now
 	go func() {
 		err := e.fetchUpdates(from)
 		e.fleet.mu.Lock()
-		e.fleet.fetching = false
+		delete(e.fleet.fetches, from.VM)
 		e.fleet.mu.Unlock()
 		if err != nil {
 			e.log.Warn(componentFleet, "cannot fetch updates", "from", from.VM, "error", err.Error())
--- a/internal/tier/reader/doc.go
+++ b/internal/tier/reader/doc.go
@@ -6,9 +6,9 @@
 // A VM relies on others only for as long as their word is known to hold: what
 // counts is when the store last answered one of them at a revision that this VM
 // has, never what they say of a call that is still open. A copy that nobody has
-// confirmed for too long makes the VM read the store itself, whatever the cause:
-// watchers that are cut off, connections that have gone silent, heartbeats that
-// arrive while updates don't.
+// confirmed for too long, or that is known to lack changes, makes the VM read
+// the store itself, whatever the cause: watchers that are cut off, connections
+// that have gone silent, heartbeats that arrive while updates don't.
 //
 // Load patterns: all VMs start together; the store is away and no VM can
 // watch it, while it may serve some of them; VMs are cut off from the watchers.
--- a/internal/tier/reader/fresh.go
+++ b/internal/tier/reader/fresh.go
@@ -9,6 +9,8 @@
 	own, others time.Time
 	// watchedAt is when another VM last said that it watches the store.
 	watchedAt time.Time
+	// behindAt is since when others are known to have changes that the copy lacks, zero if it lacks none.
+	behindAt time.Time
 }
 
 // NewFreshness returns what is known at the start of the VM.
@@ -20,11 +22,17 @@
 // Hear records that another VM, which holds nothing that the copy lacks, has had an answer of the store as of a time.
 func (f *Freshness) Hear(at time.Time) { f.others = later(f.others, at) }
 
-// Observe records whether another VM says now that it watches the store.
-func (f *Freshness) Observe(now time.Time, watched bool) {
+// Observe records whether another VM says now that it watches the store, and whether one has changes that the copy lacks.
+func (f *Freshness) Observe(now time.Time, watched, behind bool) {
 	if watched {
 		f.watchedAt = now
 	}
+	switch {
+	case !behind:
+		f.behindAt = time.Time{}
+	case f.behindAt.IsZero():
+		f.behindAt = now
+	}
 }
 
 // Age returns the time since the copy was last known to hold all that the store does.
@@ -41,6 +49,14 @@
 // Unwatched returns the time since another VM last said that it watches the store.
 func (f *Freshness) Unwatched(now time.Time) time.Duration { return now.Sub(f.watchedAt) }
 
+// Behind returns how long other VMs have had changes that the copy lacks, 0 if it lacks none.
+func (f *Freshness) Behind(now time.Time) time.Duration {
+	if f.behindAt.IsZero() {
+		return 0
+	}
+	return now.Sub(f.behindAt)
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/tier/reader/reader.go
+++ b/internal/tier/reader/reader.go
@@ -20,6 +20,9 @@
 	maxUnconfirmed = 1900 * time.Millisecond
 	// maxUnwatched is how long it waits when all others say that they don't watch the store: as long as a watcher needs to try again.
 	maxUnwatched = 2 * retryPause
+	// maxBehind is how long a VM tries to get changes from others that have them before it reads the store. The VMs that do so then are spread
+	// over behindSpread.
+	maxBehind, behindSpread = time.Second, 300 * time.Millisecond
 	// turnPause is the time between the turns of VMs that follow one another by rank. Those whose turn comes after maxTurnPause take it within
 	// as long again.
 	turnPause, maxTurnPause = 60 * time.Millisecond, 750 * time.Millisecond
@@ -46,8 +49,8 @@
 	SinceFailure time.Duration
 	Failed       bool
 	// Unconfirmed is the time since another VM last confirmed that the copy is complete, and Unwatched the time since one last said that it
-	// watches the store.
-	Unconfirmed, Unwatched time.Duration
+	// watches the store. Behind is how long others have had changes that the copy lacks, 0 if it lacks none.
+	Unconfirmed, Unwatched, Behind time.Duration
 }
 
 // Wait returns how long the VM waits before it may call the store, as far as it knows now, and 0 if it may call now. It returns false if the
@@ -74,6 +77,9 @@
 		turn = maxTurnPause + time.Duration(t.Spread*float64(maxTurnPause))
 	}
 	wait := min(maxUnconfirmed-t.Unconfirmed, maxUnwatched-t.Unwatched) + turn
+	if t.Behind > 0 {
+		wait = min(wait, maxBehind+time.Duration(t.Spread*float64(behindSpread))-t.Behind)
+	}
 	return max(0, wait)
 }
 
--- a/internal/tier/reader/reader_test.go
+++ b/internal/tier/reader/reader_test.go
@@ -295,6 +295,10 @@
 		assertWait(t, reader.Turn{Rank: 3, Unconfirmed: 1600 * time.Millisecond}, 360*time.Millisecond, true)
 		assertWait(t, reader.Turn{Rank: 3, Unconfirmed: 2 * time.Second}, 0, true)
 	})
+	t.Run("of another comes when it has lacked changes for long", func(t *testing.T) {
+		assertWait(t, reader.Turn{Rank: 3, Behind: 900 * time.Millisecond}, 100*time.Millisecond, true)
+		assertWait(t, reader.Turn{Rank: 100, Behind: 1100 * time.Millisecond}, 0, true)
+	})
 	t.Run("of one that took over ends when another confirms its copy", func(t *testing.T) {
 		assertWait(t, reader.Turn{Rank: 9, Watching: true, Unconfirmed: 3 * time.Second, Unwatched: 3 * time.Second}, 0, true)
 		if wait, _ := (reader.Turn{Rank: 9, Watching: true}).Wait(); wait == 0 {
