--- a/internal/tier/reader/reader_test.go
+++ b/internal/tier/reader/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,6 +41,9 @@
 	calls int
 	// outsideDelay is newsDelay for the VMs outside the core group.
 	outsideDelay time.Duration
+	// watchedAt is when the VM lastWatcher watched the store, and watchedBefore when another one last did before.
+	watchedAt, watchedBefore time.Duration
+	lastWatcher              int
 	// answers are the answers of the store that the VMs tell each other of.
 	answers []answer
 }
@@ -56,7 +60,6 @@
 	began, failedAt   time.Duration
 	calling, watching bool
 	failed, empty     bool
-	watchedAt         time.Duration
 	// own and others are when the copy is known to have been complete from the VM's calls and from others.
 	own, others time.Duration
 }
@@ -73,6 +76,7 @@
 // 0 if they are not.
 func (f *fleet) run(until, asOf time.Duration, included func(vm int) bool) (followed time.Duration) {
 	for ; f.now < until; f.now += step {
+		f.answers = slices.DeleteFunc(f.answers, func(a answer) bool { return a.told+2*newsDelay+2*step < f.now })
 		current := true
 		for i, v := range f.vms {
 			f.hear(i, v)
@@ -96,13 +100,19 @@
 
 // unwatched returns the time since a VM last heard that another one watches the store.
 func (f *fleet) unwatched(vm int) time.Duration {
-	last := time.Duration(0)
-	for i, o := range f.vms {
-		if i != vm {
-			last = max(last, min(f.now, o.watchedAt+f.newsTo(vm)))
-		}
+	last := f.watchedAt
+	if f.lastWatcher == vm {
+		last = f.watchedBefore
+	}
+	return f.now - min(f.now, last+f.newsTo(vm))
+}
+
+// noteWatch records that a VM watches the store now.
+func (f *fleet) noteWatch(vm int) {
+	if f.lastWatcher != vm {
+		f.lastWatcher, f.watchedBefore = vm, f.watchedAt
 	}
-	return f.now - last
+	f.watchedAt = f.now
 }
 
 // hear tells a VM of the answers that the others have had.
@@ -116,7 +126,7 @@
 
 func (f *fleet) step(i int, v *vm) {
 	if v.watching {
-		v.watchedAt = f.now
+		f.noteWatch(i)
 	}
 	if v.calling {
 		f.end(i, v)
