Take no head for an answer that holds the status line of another one

Cause: what breaks off within a status line or the value of a field and the status line of the awaited answer make one line, and the rest of the awaited answer follows with the right ID and signature. net/http takes any text in a reason or a value, status.Parse looked at 13 bytes.

A head that holds a status line anywhere but at its beginning ends the call as lost, which may have run, and closes the connection: status.CheckHead, in link for servers and in the clients of our own interface. The awaited answer is always whole in the bytes, so its status line always lies within the head that would mix both.

--- a/internal/base/status/status.go
+++ b/internal/base/status/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,8 +14,12 @@
 	minInterim, minFinal, maxFinal = 100, 200, 599
 )
 
-// ErrBroken is the cause of the errors about answers whose status says nothing.
-var ErrBroken = errors.New("answer has no valid status")
+var (
+	// ErrBroken is the cause of the errors about answers whose status says nothing.
+	ErrBroken = errors.New("answer has no valid status")
+	// ErrSpliced is the cause of the errors about heads that hold the beginning of another answer.
+	ErrSpliced = errors.New("head of the answer holds another status line")
+)
 
 // Final reports whether a status ends a request: 200 to 599.
 func Final(code int) bool { return code >= minFinal && code <= maxFinal }
@@ -61,4 +66,42 @@
 	return nil
 }
 
+// CheckHead returns an error unless the head of an answer that another package has read ends a request or precedes one that does, and is that of one answer. A status line
+// further within is the start of an answer that followed an incomplete one: what stands before it, such as the status, is of the other.
+func CheckHead(resp *http.Response) error {
+	if !Final(resp.StatusCode) && !Interim(resp.StatusCode) {
+		return Check(resp.StatusCode)
+	}
+	if holdsStatusLine(resp.Status) {
+		return errors.Errorf("status line %q: %w", resp.Proto+" "+resp.Status, ErrSpliced)
+	}
+	for name, values := range resp.Header {
+		for _, value := range values {
+			if holdsStatusLine(value) {
+				return errors.Errorf("field %s: %q: %w", name, value, ErrSpliced)
+			}
+		}
+	}
+	for name := range resp.Trailer {
+		if holdsStatusLine(name) {
+			return errors.Errorf("field Trailer: %q: %w", name, ErrSpliced)
+		}
+	}
+	return nil
+}
+
+// holdsStatusLine reports whether a status line of HTTP/1 begins within a text.
+func holdsStatusLine(text string) bool {
+	for {
+		_, rest, found := strings.Cut(text, "HTTP/1.")
+		if !found {
+			return false
+		}
+		if len(rest) >= len("1 200") && isDigit(rest[0]) && rest[1] == ' ' && isDigit(rest[2]) && isDigit(rest[3]) && isDigit(rest[4]) {
+			return true
+		}
+		text = rest
+	}
+}
+
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/internal/node/owner/backend.go
+++ b/internal/node/owner/backend.go
@@ -87,7 +87,7 @@
 		return p.connectionFailure(ctx, reply, connected())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if status.Check(resp.StatusCode) != nil {
+	if status.CheckHead(resp) != nil {
 		// Nothing else in the response counts either.
 		p.close()
 		return failed(reply, fault.OutcomeUnknown, fault.CodeWrongAnswer, slots.Result{})
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -173,6 +173,9 @@
 		if err != nil {
 			return nil, false, errors.Errorf("read answer: %w", err)
 		}
+		if err := status.CheckHead(resp); err != nil {
+			return nil, false, errors.Errorf("read answer: %w", err)
+		}
 		if status.Interim(resp.StatusCode) {
 			if hasBody(resp) {
 				return nil, false, errors.Errorf("status line %q: %w", resp.Proto+" "+resp.Status, errBodied)
--- a/internal/wire/client/client.go
+++ b/internal/wire/client/client.go
@@ -179,7 +179,7 @@
 		return transportError(connected(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := status.Check(resp.StatusCode); err != nil {
+	if err := status.CheckHead(resp); err != nil {
 		return transportError(true, err)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
--- a/internal/wire/netio/netio.go
+++ b/internal/wire/netio/netio.go
@@ -205,7 +205,7 @@
 		return errors.Errorf("request %s: %w", req.URL.Path, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := status.Check(resp.StatusCode); err != nil {
+	if err := status.CheckHead(resp); err != nil {
 		return errors.Errorf("request %s: %w", req.URL.Path, err)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
