Record what a server says for the start that says it, published or not

Cause: what an answer says was recorded for the start that the VM knew by the entry when it sent the request, though a later start had answered. The entry of that one then ended the limit as the word of an earlier start. Retry-After and Server-Leaving went the same way.

roster.Start tells the two apart now. A connection that was opened after the server could not be reached, or ended one with a request on it, may belong to a start whose entry has not arrived; what is heard on it passes to the start that the next entry names, unless the server was lost again since. Heartbeats carry the same. A server that has said that it leaves, and has had the time to, passes on nothing.

--- a/internal/limit/pacer/pacer.go
+++ b/internal/limit/pacer/pacer.go
@@ -50,8 +50,10 @@
 	// rate is the named limit in requests per second for the whole fleet. It is in force if limited is set.
 	rate    float64
 	limited bool
-	// start is the start of the server's process that named the limit, empty if it is not known.
-	start string
+	// start is the start of the server's process that named the limit, empty if it is not known. unpublished says that it is a later one, whose
+	// entry has not arrived yet.
+	start       string
+	unpublished bool
 	// heardAt is when the last answer on which the belief rests was received, by this VM or another one. ownAt is when this VM received
 	// one, and since when the limit was first named.
 	heardAt, ownAt, since time.Time
@@ -187,17 +189,23 @@
 	return true
 }
 
-// SetStart records which start of a server's process named its limit.
-func (l *Limiter) SetStart(name ident.Server, start string) {
+// SetStart records which start of a server's process named its limit: a published one, or a later one whose entry has not arrived yet.
+func (l *Limiter) SetStart(name ident.Server, start string, unpublished bool) {
 	if s := l.servers[name]; s != nil {
-		s.start = start
+		s.start, s.unpublished = start, unpublished
 	}
 }
 
-// Begin records that a server has an entry that names a start of its process. The limit of another start no longer holds; that of the same one
-// does, also if the server had no entry meanwhile.
-func (l *Limiter) Begin(name ident.Server, start string) {
-	if s := l.servers[name]; s != nil && s.start != "" && s.start != start {
+// Begin records that a server has an entry that names a start of its process, and when the start before it may have ended last. The limit of another
+// start no longer holds, but for one that was named since by a start whose entry had not arrived. That of the same start holds, also if the server had
+// no entry meanwhile.
+func (l *Limiter) Begin(name ident.Server, start string, lostAt time.Time) {
+	s := l.servers[name]
+	switch {
+	case s == nil || s.start == "" || s.start == start:
+	case s.unpublished && !lostAt.After(s.heardAt):
+		s.start, s.unpublished = start, false
+	default:
 		delete(l.servers, name)
 	}
 }
--- a/internal/limit/pacer/pacer_test.go
+++ b/internal/limit/pacer/pacer_test.go
@@ -332,16 +332,47 @@
 	t.Run("with the server's next start", func(t *testing.T) {
 		vm := &simVM{name: "vm0"}
 		vm.Observe(start, start, "a", pacer.Statement{Rate: 0.1, Limited: true})
-		vm.SetStart("a", "1")
-		vm.Begin("a", "1")
+		vm.SetStart("a", "1", false)
+		vm.Begin("a", "1", time.Time{})
 		if d := vm.Delay(start, "a", false); d <= 0 {
 			t.Error("the limit has ended with an entry of the same start, want it in force")
 		}
-		vm.Begin("a", "2")
+		vm.Begin("a", "2", time.Time{})
 		assertUnlimited(t, start, vm)
 	})
 }
 
+// A start of a server names a limit before its entry arrives. That entry must not end the limit, but the one of a further start must.
+func TestBeforeEntry(t *testing.T) {
+	later := start.Add(time.Second)
+	newNamed := func() *simVM {
+		vm := &simVM{name: "vm0"}
+		vm.Observe(start, start, "a", pacer.Statement{Rate: 0.1, Limited: true})
+		vm.SetStart("a", "1", true)
+		return vm
+	}
+	t.Run("holds with the entry of that start", func(t *testing.T) {
+		vm := newNamed()
+		vm.Begin("a", "1", time.Time{})
+		vm.Begin("a", "2", start.Add(-time.Second))
+		if d := vm.Delay(start, "a", false); d <= 0 {
+			t.Error("the limit has ended")
+		}
+		vm.Begin("a", "3", time.Time{})
+		assertUnlimited(t, start, vm)
+	})
+	t.Run("ends if the server was lost again", func(t *testing.T) {
+		vm := newNamed()
+		vm.Begin("a", "2", later)
+		assertUnlimited(t, later, vm)
+	})
+	t.Run("is reported as such", func(t *testing.T) {
+		if rep := newNamed().Reports(start)["a"]; !rep.Unpublished {
+			t.Errorf("report is %+v, want it to be of a start without an entry", rep)
+		}
+	})
+}
+
 // Requests that wait for a token must get it, and those that would wait too long must know it at once.
 func TestPromise(t *testing.T) {
 	vm := &simVM{name: "vm0"}
--- a/internal/limit/pacer/report.go
+++ b/internal/limit/pacer/report.go
@@ -13,6 +13,8 @@
 	Ended bool    `json:"e,omitempty"`
 	// AgeMs is the time since the answer, in milliseconds.
 	AgeMs int64 `json:"m,omitempty"`
+	// Unpublished says that a start of the server said it whose entry has not arrived yet.
+	Unpublished bool `json:"u,omitempty"`
 }
 
 // Reports returns what this VM has heard from servers itself lately.
@@ -36,7 +38,7 @@
 		if out == nil {
 			out = make(map[ident.Server]Report)
 		}
-		out[name] = Report{Rate: s.rate, Ended: !s.limited, AgeMs: now.Sub(heard).Milliseconds()}
+		out[name] = Report{Rate: s.rate, Ended: !s.limited, AgeMs: now.Sub(heard).Milliseconds(), Unpublished: s.unpublished}
 	}
 	return out
 }
--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -422,8 +422,12 @@
 	var load *header.Load
 	h, server := s.handle, s.target.Server
 	if res.Answer != nil && res.Verdict != gather.VerdictMisplaced {
-		change.limit, change.badLimit = d.observeLimit(now, now.Add(-took), s, res.Answer.Header.Get(names.Limit))
-		d.observeStatement(now, s, res.Answer, names, &change)
+		start := d.roster.Speaker(server, s.start, res.Opened)
+		change.limit, change.badLimit = d.observeLimit(now, now.Add(-took), server, start, res.Answer.Header.Get(names.Limit))
+		d.observeStatement(now, server, start, res.Answer, names, &change)
+	}
+	if res.ServerLost() {
+		d.roster.RecordLoss(now, server, s.start)
 	}
 	if res.Answer != nil {
 		if left, ok := header.ParseMillis(res.Answer.Header.Get(names.ColdMs)); ok && d.roster.MarkCold(now, server, left) {
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -373,12 +373,13 @@
 		if start, ended := d.roster.Ended(ev.Entry); ended {
 			d.endStart(ev.Entry.Server, start)
 		}
+		lostAt := d.roster.LostAt(ev.Entry.Server)
 		fresh := d.roster.Update(now, ev.Entry)
 		if fresh {
 			d.balancer.Forget(ev.Entry.Server)
 			d.warmupLimiter.Forget(ev.Entry.Server)
 		}
-		d.pacer.Begin(ev.Entry.Server, ev.Entry.Start().String())
+		d.pacer.Begin(ev.Entry.Server, ev.Entry.Start().String(), lostAt)
 		d.mu.Unlock()
 		e.log.Info(componentServers, "server entry published", "server", ev.Entry.Server, "service", ev.Entry.Service, "new", fresh,
 			"leaving", ev.Entry.Leaving, "coldMs", ms(ev.Entry.ColdFor), "revision", revision, "from", from)
--- a/internal/tier/edge/statement.go
+++ b/internal/tier/edge/statement.go
@@ -16,10 +16,10 @@
 // leavingValue is the value of the header with which a server says that it leaves.
 const leavingValue = "1"
 
-// observeStatement applies what an answer says of the server: that it leaves, and in a refusal that it wants nothing for a time.
-func (d *dispatch) observeStatement(now time.Time, s sending, a *link.Answer, names header.Names, change *serverChange) {
+// observeStatement applies what an answer says of a start of a server: that it leaves, and in a refusal that it wants nothing for a time.
+func (d *dispatch) observeStatement(now time.Time, server ident.Server, start roster.Start, a *link.Answer, names header.Names, change *serverChange) {
 	if a.Header.Get(names.Leaving) == leavingValue {
-		change.leaving = d.roster.HearLeaving(now, s.target.Server, s.start)
+		change.leaving = d.roster.HearLeaving(now, server, start)
 	}
 	texts := a.Header[retryAfter]
 	if len(texts) == 0 || a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
@@ -30,7 +30,7 @@
 	case !ok:
 		change.badRetryAfter = texts
 	case rest > 0:
-		change.restUntil, _ = d.roster.HearRest(now, s.target.Server, s.start, rest)
+		change.restUntil, _ = d.roster.HearRest(now, server, start, rest)
 	}
 }
 
@@ -66,9 +66,8 @@
 	return d.pacer.Len() > 0
 }
 
-// observeLimit applies the limit that an answer names, empty for none, and returns the change, or the text if it cannot be read.
-func (d *dispatch) observeLimit(now, sent time.Time, s sending, text string) (change pacer.Change, malformed string) {
-	server := s.target.Server
+// observeLimit applies the limit that an answer of a start of a server names, empty for none, and returns the change, or the text if it cannot be read.
+func (d *dispatch) observeLimit(now, sent time.Time, server ident.Server, start roster.Start, text string) (change pacer.Change, malformed string) {
 	if text == "" {
 		return d.pacer.Observe(now, sent, server, pacer.Statement{}), ""
 	}
@@ -77,7 +76,7 @@
 		return nil, text
 	}
 	change = d.pacer.Observe(now, sent, server, pacer.Statement{Rate: rate, Limited: true})
-	d.pacer.SetStart(server, s.start.String())
+	d.pacer.SetStart(server, start.String(), start.Unpublished)
 	return change, ""
 }
 
@@ -90,7 +89,7 @@
 	for server := range changes {
 		if known := d.roster.Member(server); known != nil {
 			services[server] = known.Entry().Service
-			d.pacer.SetStart(server, known.Entry().Start().String())
+			d.pacer.SetStart(server, known.Entry().Start().String(), m.ServerLimits[server].Unpublished)
 		}
 	}
 	avoided := d.roster.ApplyReports(now, m.ServerStatements)
--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -59,6 +59,7 @@
 	limit  *limitedReader
 	memory *byteBudget
 	uses   int
+	opened time.Time
 	// carried holds the requests that the connection has carried and that may be sent again.
 	carried     []carried
 	idleSince   time.Time
@@ -73,7 +74,9 @@
 
 func newConn(c net.Conn, memory *byteBudget) *conn {
 	limit := &limitedReader{r: c}
-	return &conn{Conn: c, br: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, memory: memory, idleTimeout: defaultIdleTimeout}
+	return &conn{
+		Conn: c, br: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, memory: memory, opened: time.Now(), idleTimeout: defaultIdleTimeout,
+	}
 }
 
 // reusable reports whether an idle connection can carry a request: it is within its idle timeout, still open, and has
--- a/internal/tier/link/link.go
+++ b/internal/tier/link/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -86,6 +87,8 @@
 	Unresponsive bool
 	// Dialed reports that the call opened a connection or tried to.
 	Dialed bool
+	// Opened is when the connection was opened, zero if there was none.
+	Opened time.Time
 	// Revoked reports that the call was revoked before it was sent.
 	Revoked bool
 }
@@ -147,12 +150,23 @@
 	p.put(cn, keep)
 	switch {
 	case err != nil && !sent:
-		return Result{Verdict: gather.VerdictUnsent, Err: err, Dialed: dialed}
+		return Result{Verdict: gather.VerdictUnsent, Err: err, Dialed: dialed, Opened: cn.opened}
 	case err != nil:
-		return Result{Verdict: gather.VerdictLost, Err: err, Unresponsive: errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err), Dialed: dialed}
+		unresponsive := errors.Is(err, syscall.ETIMEDOUT) || isTimeout(err)
+		return Result{Verdict: gather.VerdictLost, Err: err, Unresponsive: unresponsive, Dialed: dialed, Opened: cn.opened}
 	}
 	verdict, err := t.classify(c.Target, answer)
-	return Result{Verdict: verdict, Answer: answer, Err: err, Dialed: dialed}
+	return Result{Verdict: verdict, Answer: answer, Err: err, Dialed: dialed, Opened: cn.opened}
+}
+
+// ServerLost reports whether the call shows that the server's process may have ended: it could not be reached, or has ended a connection with a request
+// on it.
+func (r Result) ServerLost() bool {
+	if r.Verdict == gather.VerdictUnsent {
+		return r.Unresponsive
+	}
+	return r.Verdict == gather.VerdictLost &&
+		(errors.Is(r.Err, syscall.ECONNRESET) || errors.Is(r.Err, syscall.EPIPE) || errors.Is(r.Err, io.ErrUnexpectedEOF))
 }
 
 // BoundMemory bounds the bytes of all answers to a part of the memory of the VM. It is called before the first call.
--- a/internal/tier/roster/report.go
+++ b/internal/tier/roster/report.go
@@ -16,7 +16,9 @@
 // Report is what a VM has heard from a server, for other VMs.
 type Report struct {
 	Started int64 `json:"b"`
-	Leaving bool  `json:"l,omitempty"`
+	// Unpublished says that a later start of the server said it, whose entry has not arrived yet.
+	Unpublished bool `json:"u,omitempty"`
+	Leaving     bool `json:"l,omitempty"`
 	// RestMs is for how much longer the server wants nothing from the VM, in milliseconds.
 	RestMs int64 `json:"r,omitempty"`
 }
@@ -32,7 +34,7 @@
 			out = make(map[ident.Server]Report)
 		}
 		out[name] = Report{
-			Started: st.start.Started, Leaving: !st.leavingSince.IsZero(), RestMs: max(0, st.restUntil.Sub(now).Milliseconds()),
+			Started: st.start.Started, Unpublished: st.start.Unpublished, Leaving: !st.leavingSince.IsZero(), RestMs: max(0, st.restUntil.Sub(now).Milliseconds()),
 		}
 	}
 	return out
@@ -47,7 +49,12 @@
 		if m == nil || m.entry.Started != rep.Started || rep.RestMs < 0 || !rep.Leaving && rep.RestMs == 0 {
 			continue
 		}
-		st := r.ensureStatement(now, name, m.entry.Start())
+		start := m.entry.Start()
+		start.Unpublished = rep.Unpublished
+		st := r.ensureStatement(now, name, start)
+		if st == nil {
+			continue
+		}
 		if !st.avoided(now) {
 			changed = append(changed, name)
 		}
--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -48,6 +48,8 @@
 	// leaving when it is first seen counts as past its drain time.
 	leavingSince time.Time
 	removed      bool
+	// lostAt is when the process may have ended last since the first entry of its start arrived, zero if nothing shows that it has.
+	lostAt time.Time
 }
 
 // Entry returns the last entry that the server published.
@@ -95,12 +97,12 @@
 // address.
 func (r *Roster) Update(now time.Time, e Entry) bool {
 	r.init()
-	r.forgetStatement(e)
+	r.passStatement(now, e)
 	old := r.members[e.Server]
 	m := &Member{entry: e}
 	isNew := old == nil || old.entry.Started != e.Started || old.entry.Address != e.Address
 	if old != nil && !isNew {
-		m.coldUntil, m.leavingSince = old.coldUntil, old.leavingSince
+		m.coldUntil, m.leavingSince, m.lostAt = old.coldUntil, old.leavingSince, old.lostAt
 	}
 	if e.ColdFor > 0 {
 		m.coldUntil = later(m.coldUntil, now.Add(e.ColdFor))
--- a/internal/tier/roster/statement.go
+++ b/internal/tier/roster/statement.go
@@ -23,11 +23,16 @@
 	// Started is the start of the server's process as its entry names it.
 	Started int64
 	Address string
+	// Unpublished says that it is a later start than that, at the same address, whose entry has not arrived yet.
+	Unpublished bool
 }
 
-// String returns the start as one text.
+// String returns the published start as one text.
 func (s Start) String() string { return strconv.FormatInt(s.Started, 10) + "@" + s.Address }
 
+// published returns the start without what is not published.
+func (s Start) published() Start { return Start{Started: s.Started, Address: s.Address} }
+
 // Start returns the start that the entry belongs to.
 func (e Entry) Start() Start { return Start{Started: e.Started, Address: e.Address} }
 
@@ -87,10 +92,13 @@
 // since.
 func (r *Roster) ensureStatement(now time.Time, s ident.Server, start Start) *statement {
 	r.init()
-	if m := r.members[s]; m != nil && m.entry.Start() != start {
+	if m := r.members[s]; m != nil && m.entry.Start() != start.published() {
 		return nil
 	}
 	st := r.statements[s]
+	if st != nil && st.start.Unpublished && st.start.published() == start {
+		return nil
+	}
 	if st == nil || st.start != start {
 		st = &statement{start: start}
 		r.statements[s] = st
@@ -195,11 +203,45 @@
 	}
 }
 
-// forgetStatement drops what an earlier start of a server has said.
-func (r *Roster) forgetStatement(e Entry) {
-	if st := r.statements[e.Server]; st != nil && st.start != e.Start() {
+// Speaker returns the start of a server that an answer is of: the one that the request was chosen for, or a later one if the connection was opened after
+// that one may have ended.
+func (r *Roster) Speaker(s ident.Server, chosen Start, opened time.Time) Start {
+	if m := r.members[s]; m != nil && m.entry.Start() == chosen && !m.lostAt.IsZero() && opened.After(m.lostAt) {
+		chosen.Unpublished = true
+	}
+	return chosen
+}
+
+// RecordLoss records that the process of a server may have ended, at a start that a request was chosen for.
+func (r *Roster) RecordLoss(now time.Time, s ident.Server, chosen Start) {
+	if old := r.members[s]; old != nil && old.entry.Start() == chosen {
+		m := *old
+		m.lostAt = now
+		r.replace(old, &m)
+	}
+}
+
+// LostAt returns when the process of a server may have ended last since its entry arrived, zero if nothing shows that it has.
+func (r *Roster) LostAt(s ident.Server) time.Time {
+	if m := r.members[s]; m != nil {
+		return m.lostAt
+	}
+	return time.Time{}
+}
+
+// passStatement gives what a start of a server has said before its entry arrived to the start that an entry names, and drops what an earlier one has
+// said. A server that has said that it leaves, and has had the time to, has made way for the start of the entry.
+func (r *Roster) passStatement(now time.Time, e Entry) {
+	st := r.statements[e.Server]
+	if st == nil || st.start.published() == e.Start() {
+		return
+	}
+	left := !st.leavingSince.IsZero() && now.Sub(st.leavingSince) >= r.drain
+	if !st.start.Unpublished || st.start.Address != e.Address || left || r.LostAt(e.Server).After(st.heardAt) {
 		delete(r.statements, e.Server)
+		return
 	}
+	st.start = e.Start()
 }
 
 // NumStatements returns the number of servers of which a statement is kept.
--- a/internal/tier/roster/statement_test.go
+++ b/internal/tier/roster/statement_test.go
@@ -180,3 +180,66 @@
 		t.Errorf("%d statements are kept a day later, want none", n)
 	}
 }
+
+// A server starts again and says of itself what its VMs hear before its entry arrives.
+func TestSpeaker(t *testing.T) {
+	of, lost := entry("a").Start(), start.Add(time.Second)
+	later := lost.Add(time.Second)
+	newLost := func() *roster.Roster {
+		r := pair()
+		r.RecordLoss(lost, "a", of)
+		return r
+	}
+	t.Run("is the published start before the server was lost, and a later one on connections after that", func(t *testing.T) {
+		r := newLost()
+		for opened, want := range map[time.Time]bool{start: false, later: true} {
+			if got := r.Speaker("a", of, opened).Unpublished; got != want {
+				t.Errorf("opened after %v: a later start: %v, want %v", opened.Sub(start), got, want)
+			}
+		}
+		if pair().Speaker("a", of, later).Unpublished || r.Speaker("b", entry("b").Start(), later).Unpublished {
+			t.Error("a server that was not lost counts as a later start")
+		}
+	})
+	t.Run("keeps what it said as its entry arrives", func(t *testing.T) {
+		r := newLost()
+		speaker := r.Speaker("a", of, later)
+		r.HearRest(later, "a", speaker, time.Minute)
+		r.HearLeaving(later, "a", speaker)
+		r.Update(later, entry("a"))
+		assertResting(t, r, later, "a", true)
+		r.Update(later, again("a"))
+		assertResting(t, r, later, "a", true)
+		assertCandidates(t, r, later, []ident.Server{"b"}, []ident.Server{"a"})
+		third := again("a")
+		third.Started++
+		r.Update(later, third)
+		assertResting(t, r, later, "a", false)
+	})
+	t.Run("is not the earlier start, whose answers come late", func(t *testing.T) {
+		r := newLost()
+		r.HearRest(later, "a", r.Speaker("a", of, later), time.Second)
+		r.HearRest(later, "a", r.Speaker("a", of, start), time.Minute)
+		assertResting(t, r, later.Add(2*time.Second), "a", false)
+	})
+	t.Run("is gone if the server was lost again", func(t *testing.T) {
+		r := newLost()
+		r.HearRest(later, "a", r.Speaker("a", of, later), time.Minute)
+		r.RecordLoss(later.Add(time.Second), "a", of)
+		r.Update(later.Add(2*time.Second), again("a"))
+		assertResting(t, r, later.Add(2*time.Second), "a", false)
+	})
+	t.Run("is gone if it said that it leaves and has had the time to", func(t *testing.T) {
+		r := newLost()
+		r.HearLeaving(later, "a", r.Speaker("a", of, later))
+		r.Update(later.Add(drain), again("a"))
+		assertCandidates(t, r, later.Add(drain), []ident.Server{"a", "b"}, nil)
+	})
+	t.Run("is told to other VMs", func(t *testing.T) {
+		r, other := newLost(), pair()
+		r.HearRest(later, "a", r.Speaker("a", of, later), time.Minute)
+		other.ApplyReports(later, r.Reports(later))
+		other.Update(later, again("a"))
+		assertCandidates(t, other, later, []ident.Server{"b"}, []ident.Server{"a"})
+	})
+}
