Take a server that was lost and answers again for a cold one until it says otherwise

Cause: the VM took whoever answers at the server's address for the start that its entry had named, and never asked for its health, whose answer alone says that a server is cold.

A server that could not be reached, or ended a connection with a request on it, may have started again. If its service has a rate for cold servers it gets that rate, shared as usual, until another start has an entry, a health request is answered on a new connection, or the service's time for cold servers has passed since its first answer. Nothing changes for services without such a rate.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -71,6 +71,8 @@
 	serverHold int64
 	// flights holds the attempts in flight by server.
 	flights map[ident.Server][]*flight
+	// verifyAt is when a server that may have started again may be asked for its health next.
+	verifyAt map[ident.Server]time.Time
 	// serving is the number of VMs that serve clients, including this one.
 	serving int
 	// even says that pace and the news of other VMs are used.
@@ -285,7 +287,7 @@
 	out := make([]place.Candidate, len(members))
 	for i, m := range members {
 		e := m.Entry()
-		cold := m.Cold(now)
+		cold := c.mayBeCold(now, m)
 		out[i] = place.Candidate{
 			Server: e.Server, Slots: e.Slots, CrossDomain: e.Domain != c.domain, Cold: cold,
 			ColdLimited: cold && !c.maySendCold(now, e),
@@ -352,7 +354,7 @@
 	if m == nil {
 		return sending{}, false
 	}
-	if m.Cold(now) {
+	if d.mayBeCold(now, m) {
 		d.warmupLimiter.RecordSend(now, s.Server, d.scale*d.coldRate(s.Service), d.self, d.vms)
 	}
 	use := usage(s)
@@ -410,6 +412,8 @@
 	badRetryAfter []string
 	// misplaced says that another server answered at its address.
 	misplaced bool
+	// verify says that the server may have started again and is to be asked for its health.
+	verify bool
 }
 
 // end records the result of an attempt, which took the given time, and returns the changes in the state of its server.
@@ -425,6 +429,8 @@
 		start := d.roster.Speaker(server, s.start, res.Opened)
 		change.limit, change.badLimit = d.observeLimit(now, now.Add(-took), server, start, res.Answer.Header.Get(names.Limit))
 		d.observeStatement(now, server, start, res.Answer, names, &change)
+		d.roster.RecordAnswer(now, server, s.start, res.Opened)
+		change.verify = d.wantsHealth(now, server)
 	}
 	if res.ServerLost() {
 		d.roster.RecordLoss(now, server, s.start)
@@ -473,6 +479,7 @@
 	defer d.mu.Unlock()
 	d.retries.Prune(now)
 	d.warmupLimiter.Prune(now)
+	maps.DeleteFunc(d.verifyAt, func(_ ident.Server, at time.Time) bool { return !now.Before(at) })
 	d.pacer.Prune(now, func(s ident.Server) bool { return d.roster.Member(s) != nil })
 	d.roster.PruneStatements(now)
 	if d.table == nil {
--- a/internal/tier/edge/request.go
+++ b/internal/tier/edge/request.go
@@ -329,7 +329,11 @@
 		e.dispatch.cancelled(sent.handle)
 		return
 	}
-	e.logServerChange(s.Server, s.Service, e.dispatch.end(now, j.rq.route, sent, res, e.names, now.Sub(began)))
+	change := e.dispatch.end(now, j.rq.route, sent, res, e.names, now.Sub(began))
+	e.logServerChange(s.Server, s.Service, change)
+	if change.verify {
+		go e.verify(s.Service, sent)
+	}
 	e.logAttempt(j.rq, s, res, now.Sub(began))
 }
 
--- /dev/null
+++ b/internal/tier/edge/verify.go
@@ -0,0 +1,70 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/header"
+	"kumquatreel.example/kumquatreel/internal/tier/link"
+	"kumquatreel.example/kumquatreel/internal/tier/roster"
+)
+
+// verifyInterval is the time between two health requests to a server that may have started again, and the time in which each is to be answered.
+const verifyInterval = 300 * time.Millisecond
+
+// mayBeCold reports whether a server gets requests at the rate of a cold one: it is cold, or it was lost and may have started again. The
+// caller holds the lock.
+func (d *dispatch) mayBeCold(now time.Time, m *roster.Member) bool {
+	if m.Cold(now) {
+		return true
+	}
+	return d.coldRate(m.Entry().Service) > 0 && m.MayHaveRestarted(now, d.table.Service(m.Entry().Service).ColdFor)
+}
+
+// wantsHealth reports whether a server that has answered is to be asked for its health, since it may have started again and be cold. The caller holds the
+// lock.
+func (d *dispatch) wantsHealth(now time.Time, server ident.Server) bool {
+	m := d.roster.Member(server)
+	if m == nil || m.Cold(now) || !d.mayBeCold(now, m) || d.table.Service(m.Entry().Service).HealthPath == "" || now.Before(d.verifyAt[server]) {
+		return false
+	}
+	if d.verifyAt == nil {
+		d.verifyAt = make(map[ident.Server]time.Time)
+	}
+	d.verifyAt[server] = now.Add(verifyInterval)
+	return true
+}
+
+// verify asks a server for its health, so that it gets all its requests again if it has not started again or is not cold.
+func (e *Edge) verify(service ident.Service, s sending) {
+	t := e.dispatch.current()
+	ctx, cancel := context.WithTimeout(context.Background(), verifyInterval)
+	defer cancel()
+	res := e.exchange(ctx, link.Call{
+		Target: s.target, Method: http.MethodGet, Head: []byte("GET " + t.Service(service).HealthPath + " HTTP/1.1\r\nHost: " + s.target.Address + "\r\n"),
+		Deadline: time.Now().Add(verifyInterval), MaxConnections: s.connections, Permit: &link.Permit{},
+	})
+	defer res.Answer.Release()
+	coldFor, verified := e.dispatch.endVerify(time.Now(), s, res, e.names)
+	e.log.Info(componentServers, "server was lost, asked for its health", "server", s.target.Server, "service", service, "verified", verified, "coldMs", ms(coldFor))
+}
+
+// endVerify applies the answer to a health request and returns how long the server stays cold, and whether it has answered for itself.
+func (d *dispatch) endVerify(now time.Time, s sending, res link.Result, names header.Names) (coldFor time.Duration, verified bool) {
+	if res.Answer == nil || res.Answer.Header.Get(names.Server) != string(s.target.Server) || res.Answer.Header.Get(names.NotRun) != "" {
+		return 0, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if left, ok := header.ParseMillis(res.Answer.Header.Get(names.ColdMs)); ok {
+		d.roster.MarkCold(now, s.target.Server, left)
+		coldFor = left
+	}
+	verified = d.roster.Verify(s.target.Server, s.start, res.Opened)
+	if verified && coldFor <= 0 {
+		d.warmupLimiter.Forget(s.target.Server)
+	}
+	return coldFor, verified
+}
--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -50,6 +50,9 @@
 	removed      bool
 	// lostAt is when the process may have ended last since the first entry of its start arrived, zero if nothing shows that it has.
 	lostAt time.Time
+	// reachedAt is when the server first answered on a connection that was opened after that, verified says that it has told its state since.
+	reachedAt time.Time
+	verified  bool
 }
 
 // Entry returns the last entry that the server published.
@@ -70,6 +73,12 @@
 // ColdUntil returns the end of the server's cold start, which may have passed.
 func (m *Member) ColdUntil() time.Time { return m.coldUntil }
 
+// MayHaveRestarted reports whether the server was lost, has not told its state since, and may have started again so lately that it would still be cold,
+// given how long that takes.
+func (m *Member) MayHaveRestarted(now time.Time, coldFor time.Duration) bool {
+	return !m.lostAt.IsZero() && !m.verified && (m.reachedAt.IsZero() || now.Sub(m.reachedAt) < coldFor)
+}
+
 // usableAsFallback reports whether the server may receive requests that no other server can take, given the drain time.
 func (m *Member) usableAsFallback(now time.Time, drain time.Duration) bool {
 	period := time.Duration(drainUseFraction * float64(drain))
@@ -102,7 +111,8 @@
 	m := &Member{entry: e}
 	isNew := old == nil || old.entry.Started != e.Started || old.entry.Address != e.Address
 	if old != nil && !isNew {
-		m.coldUntil, m.leavingSince, m.lostAt = old.coldUntil, old.leavingSince, old.lostAt
+		m.coldUntil, m.leavingSince = old.coldUntil, old.leavingSince
+		m.lostAt, m.reachedAt, m.verified = old.lostAt, old.reachedAt, old.verified
 	}
 	if e.ColdFor > 0 {
 		m.coldUntil = later(m.coldUntil, now.Add(e.ColdFor))
--- a/internal/tier/roster/statement.go
+++ b/internal/tier/roster/statement.go
@@ -216,11 +216,31 @@
 func (r *Roster) RecordLoss(now time.Time, s ident.Server, chosen Start) {
 	if old := r.members[s]; old != nil && old.entry.Start() == chosen {
 		m := *old
-		m.lostAt = now
+		m.lostAt, m.reachedAt, m.verified = now, time.Time{}, false
 		r.replace(old, &m)
 	}
 }
 
+// RecordAnswer records that a server has answered on a connection that was opened at a time.
+func (r *Roster) RecordAnswer(now time.Time, s ident.Server, chosen Start, opened time.Time) {
+	if r.Speaker(s, chosen, opened).Unpublished && r.members[s].reachedAt.IsZero() {
+		m := *r.members[s]
+		m.reachedAt = now
+		r.replace(r.members[s], &m)
+	}
+}
+
+// Verify records that a server has told its state on a connection that was opened at a time, and reports whether that was after it was lost.
+func (r *Roster) Verify(s ident.Server, chosen Start, opened time.Time) bool {
+	if !r.Speaker(s, chosen, opened).Unpublished {
+		return false
+	}
+	m := *r.members[s]
+	m.verified = true
+	r.replace(r.members[s], &m)
+	return true
+}
+
 // LostAt returns when the process of a server may have ended last since its entry arrived, zero if nothing shows that it has.
 func (r *Roster) LostAt(s ident.Server) time.Time {
 	if m := r.members[s]; m != nil {
