gather: from its deadline on a request ends for the time

Seen by clients: a request without an answer by its deadline got 504 or, at times, 502.

Cause: the attempt ends at the same instant as the request; whichever the loop saw first decided.

TestAnswer on the code before:

gather_test.go:141: done true, unreachable, enough false; want deadline, false

Check and bound are as they were.

--- a/internal/tier/gather/gather.go
+++ b/internal/tier/gather/gather.go
@@ -224,10 +224,11 @@
 		s.finish(ReasonComplete)
 	case s.numAnswered+s.numAbandoned == len(s.shards) && s.CoverageMet():
 		s.finish(ReasonInTime)
-	case !s.coverageReachable(0):
-		s.finish(ReasonUnreachable)
+	// An attempt ends with its request, so its end and the deadline may be seen in either order.
 	case !now.Before(s.spec.HardDeadline):
 		s.finish(ReasonDeadline)
+	case !s.coverageReachable(0):
+		s.finish(ReasonUnreachable)
 	case !now.Before(s.spec.SoftDeadline) && s.CoverageMet() && len(s.shards) > 1:
 		s.finish(ReasonInTime)
 	}
--- a/internal/tier/gather/gather_test.go
+++ b/internal/tier/gather/gather_test.go
@@ -128,6 +128,26 @@
 			t.Error("attempts in flight count as not run")
 		}
 	})
+	t.Run("fails for the time whichever is seen first, its end or that of the last attempt", func(t *testing.T) {
+		for name, end := range map[string]func(*gather.State, gather.Chooser){
+			"the attempt's": func(s *gather.State, c gather.Chooser) { endAttempt(s, c, 400, 0, 0, gather.VerdictLost) },
+			"the request's": func(s *gather.State, c gather.Chooser) { s.Tick(after(400), c) },
+			"both, together": func(s *gather.State, c gather.Chooser) {
+				endAttempt(s, c, 401, 0, 0, gather.VerdictLost)
+				s.Tick(after(401), c)
+			},
+		} {
+			t.Run(name, func(t *testing.T) {
+				c, s := &fakeChooser{}, gather.New(single(false))
+				s.Start(start, c)
+				end(s, c)
+				assertDone(t, s, gather.ReasonDeadline, false)
+				if !s.MayHaveRun() {
+					t.Error("counts as not run")
+				}
+			})
+		}
+	})
 	t.Run("fails at once when too few shards have a server", func(t *testing.T) {
 		c, s := &fakeChooser{noServer: []ident.Service{"a", "b"}}, gather.New(spec())
 		assertServers(t, s.Start(start, c))
