escrow: take silence for no proof without a seed, and a short list of seeds for one

Cause: a VM that heard from nobody for a minute counted as alone, whatever it could have heard.

A VM that hears from no seed and is none stays at its small part.

Tests on the code before:

--- FAIL: TestSeedsLost escrow_test.go:223: the claims add up to 6.000, want 0.05 to 0.30 --- FAIL: TestSole escrow_test.go:239: the claims add up to 0.050, want 1.00 to 1.00

--- a/internal/limit/escrow/doc.go
+++ b/internal/limit/escrow/doc.go
@@ -7,7 +7,8 @@
 // Only VMs that most of the claimants count among those that divide the limits may claim a part of them.
 //
 // A VM that has just started knows nothing of reserved claims. It follows the VMs that do, which are called settled. If none is in
-// touch it takes little, until it hears from most of the seeds: only one group of VMs can.
+// touch it takes little, until it hears from most of the seeds: only one group of VMs can. Silence proves nothing to a VM that hears from no
+// seed, as VMs find each other by these: it goes on to take little. One whose list of seeds is short and names only VMs in touch knows all.
 //
 // Packages quota, retry, warmup and pacer use the part; package peers carries the claims.
 package escrow
--- a/internal/limit/escrow/escrow.go
+++ b/internal/limit/escrow/escrow.go
@@ -18,10 +18,15 @@
 	// forgetTime is how long the claim of a silent VM stays reserved.
 	forgetTime = time.Hour
 	// foundingTime is how long a VM must hear from most of the seeds, and from nobody who is settled, until it is settled itself.
-	// aloneTime is the same for a VM that does not hear from most of the seeds, firstTime for one at the first start of the fleet.
+	// aloneTime is the same for a VM that hears from some of the seeds, or is one, soleTime for one that hears from all seeds of a list with room for
+	// more, and firstTime for one at the first start of the fleet. A VM that hears from no seed can't know whether others are settled: VMs find
+	// each other by the seeds only.
 	foundingTime = 20 * time.Second
 	aloneTime    = time.Minute
+	soleTime     = 3 * time.Second
 	firstTime    = time.Second
+	// fullSeeds is the number of seeds that a fleet of that many VMs or more has. A shorter list names all VMs.
+	fullSeeds = 3
 	// strayPart is the largest claim of a VM that is not settled and hears neither from most of the seeds nor from settled VMs. Groups
 	// with most of the seeds claim as one of at least minFleet VMs until they are settled.
 	strayPart = 1.0 / 20
@@ -74,8 +79,9 @@
 	first  bool
 	claim  Claim
 	others map[ident.VM]*other
-	// majorityAt is since when the VM hears from most of the seeds, or zero.
-	majorityAt time.Time
+	// majorityAt is since when the VM hears from most of the seeds, seedAt since when from any, soleAt since when from all those of a list that names all
+	// VMs; zero if it does not.
+	majorityAt, seedAt, soleAt time.Time
 	// invitedAt is when at least half of the others last counted this VM among those that divide the limits.
 	invitedAt time.Time
 	sharing   bool
@@ -253,12 +259,20 @@
 		left := o.Alive && !o.Sharing && o.Claim.Part <= 0
 		return ended || left || now.Sub(o.lastAlive) > forgetTime
 	})
+	l.majorityAt = since(l.majorityAt, now, 2*v.SeedsAlive > v.Seeds)
+	l.seedAt = since(l.seedAt, now, v.SeedsAlive > 0)
+	l.soleAt = since(l.soleAt, now, v.Seeds < fullSeeds && v.SeedsAlive == v.Seeds)
+}
+
+// since returns since when a condition holds, given since when it did before; zero says that it does not.
+func since(before, now time.Time, holds bool) time.Time {
 	switch {
-	case 2*v.SeedsAlive <= v.Seeds:
-		l.majorityAt = time.Time{}
-	case l.majorityAt.IsZero():
-		l.majorityAt = now
+	case !holds:
+		return time.Time{}
+	case before.IsZero():
+		return now
 	}
+	return before
 }
 
 // record records what the VM sees of another one. It begins only with VMs that are alive.
@@ -290,10 +304,12 @@
 	switch {
 	case l.first:
 		return now.Sub(l.started) >= firstTime
+	case !l.soleAt.IsZero():
+		return now.Sub(l.soleAt) >= soleTime
 	case heard && !l.majorityAt.IsZero():
 		return now.Sub(l.majorityAt) >= foundingTime
 	}
-	return now.Sub(l.started) >= aloneTime
+	return !l.seedAt.IsZero() && now.Sub(l.seedAt) >= aloneTime
 }
 
 // strayTarget bounds the claim of a VM that is not settled and hears from nobody who is.
--- a/internal/limit/escrow/escrow_test.go
+++ b/internal/limit/escrow/escrow_test.go
@@ -31,6 +31,8 @@
 	group []int
 	lossy float64
 	rng   *rand.Rand
+	// seeds is the number of seeds, which are the first VMs.
+	seeds int
 }
 
 type vm struct {
@@ -47,7 +49,7 @@
 }
 
 func newFleet(n, listed int, first bool) *fleet {
-	f := &fleet{listed: listed, group: make([]int, n), rng: rand.New(rand.NewPCG(1, 1))}
+	f := &fleet{listed: listed, group: make([]int, n), rng: rand.New(rand.NewPCG(1, 1)), seeds: numSeeds}
 	for i := range n {
 		f.vms = append(f.vms, &vm{first: first})
 		f.start(i)
@@ -102,7 +104,7 @@
 		at, ok := v.heardAt[j]
 		return ok && f.at-at < silence && !v.ended[j]
 	}
-	view := escrow.View{Seeds: numSeeds}
+	view := escrow.View{Seeds: f.seeds}
 	rank := 0
 	v.sharing = make(map[int]bool)
 	for j := range f.vms {
@@ -119,7 +121,7 @@
 			}
 			view.Peers = append(view.Peers, p)
 		}
-		if j < numSeeds && (i == j || alive(j)) {
+		if j < f.seeds && (i == j || alive(j)) {
 			view.SeedsAlive++
 		}
 	}
@@ -205,6 +207,47 @@
 	})
 }
 
+// All VMs lose power, and those that the seeds name stay down: the others never hear of each other, however long they wait. None may take all for that.
+func TestSeedsLost(t *testing.T) {
+	f := newFleet(9, 9, true)
+	f.run(4 * time.Second)
+	for i := range f.vms {
+		f.stop(i, false)
+	}
+	for i := numSeeds; i < len(f.vms); i++ {
+		f.vms[i].first, f.group[i] = false, i
+		f.start(i)
+	}
+	for range 10 {
+		f.run(time.Minute)
+		assertSum(t, f, 0.05, 6*0.05)
+	}
+	t.Run("until a seed is back, through which they hear of each other", func(t *testing.T) {
+		f.vms[0].first = false
+		f.start(0)
+		clear(f.group)
+		f.run(2 * time.Minute)
+		assertSum(t, f, 0.95, 1)
+	})
+}
+
+// One VM of a fleet is left, and its list of seeds names no other. It must not serve a small part of its callers for a minute.
+func TestSole(t *testing.T) {
+	f := newFleet(1, 1, false)
+	f.seeds = 1
+	f.run(4 * time.Second)
+	assertSum(t, f, 1, 1)
+	t.Run("unless others are heard that hold the limits", func(t *testing.T) {
+		f := newFleet(3, 3, true)
+		f.seeds = 1
+		f.run(4 * time.Second)
+		f.vms[0].first = false
+		f.start(0)
+		f.run(10 * time.Second)
+		assertSum(t, f, 0.95, 1)
+	})
+}
+
 func TestCut(t *testing.T) {
 	f := newFleet(30, 12, true)
 	f.run(4 * time.Second)
