Read-through: health requests to servers that want none, one log line for each takeover

A server that rests or has no token of its limit left is not asked for its health, so that the question adds nothing to what it has refused. A VM that takes over the store's watch logs why once, not at each failed call. The comment of CheckHead is said in fewer words.

--- a/internal/base/status/status.go
+++ b/internal/base/status/status.go
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// CheckHead returns an error unless the head of an answer that another package has read ends a request or precedes one that does, and is that of one answer. A status line
-// further within is the start of an answer that followed an incomplete one: what stands before it, such as the status, is of the other.
+// CheckHead returns an error unless a head that net/http has read is that of one answer with a valid status. A further status line in it begins the next
+// answer: what comes before, such as the status, then belongs to an incomplete one.
 func CheckHead(resp *http.Response) error {
 	if !Final(resp.StatusCode) && !Interim(resp.StatusCode) {
 		return Check(resp.StatusCode)
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -62,9 +62,9 @@
 			clock.Sleep(ctx, interval)
 			continue
 		}
-		if t.Rank >= reader.NumWatchers && !t.Watching && !t.Empty {
+		if t.Rank >= reader.NumWatchers && !t.Watching && !t.Empty && !t.Failed {
 			e.log.Info(componentStore, "no other VM confirms the copy of the store, reading it", "unconfirmedMs", ms(t.Unconfirmed), "unwatchedMs",
-				ms(t.Unwatched), "behindMs", ms(t.Behind), "rank", t.Rank, "failed", t.Failed)
+				ms(t.Unwatched), "behindMs", ms(t.Behind), "rank", t.Rank)
 		}
 		err := e.syncOnce(ctx, &caller)
 		if ctx.Err() != nil {
--- a/internal/tier/edge/verify.go
+++ b/internal/tier/edge/verify.go
@@ -27,7 +27,10 @@
 // lock.
 func (d *dispatch) wantsHealth(now time.Time, server ident.Server) bool {
 	m := d.roster.Member(server)
-	if m == nil || m.Cold(now) || !d.mayBeCold(now, m) || d.table.Service(m.Entry().Service).HealthPath == "" || now.Before(d.verifyAt[server]) {
+	if m == nil || m.Cold(now) || !d.mayBeCold(now, m) || now.Before(d.verifyAt[server]) {
+		return false
+	}
+	if d.table.Service(m.Entry().Service).HealthPath == "" || d.roster.Resting(now, server) || d.pacer.Delay(now, server, false) > 0 {
 		return false
 	}
 	if d.verifyAt == nil {
@@ -39,16 +42,17 @@
 
 // verify asks a server for its health, so that it gets all its requests again if it has not started again or is not cold.
 func (e *Edge) verify(service ident.Service, s sending) {
-	t := e.dispatch.current()
+	path := e.dispatch.current().Service(service).HealthPath
 	ctx, cancel := context.WithTimeout(context.Background(), verifyInterval)
 	defer cancel()
 	res := e.exchange(ctx, link.Call{
-		Target: s.target, Method: http.MethodGet, Head: []byte("GET " + t.Service(service).HealthPath + " HTTP/1.1\r\nHost: " + s.target.Address + "\r\n"),
+		Target: s.target, Method: http.MethodGet, Head: []byte("GET " + path + " HTTP/1.1\r\nHost: " + s.target.Address + "\r\n"),
 		Deadline: time.Now().Add(verifyInterval), MaxConnections: s.connections, Permit: &link.Permit{},
 	})
 	defer res.Answer.Release()
 	coldFor, verified := e.dispatch.endVerify(time.Now(), s, res, e.names)
-	e.log.Info(componentServers, "server was lost, asked for its health", "server", s.target.Server, "service", service, "verified", verified, "coldMs", ms(coldFor))
+	e.log.Info(componentServers, "server was lost, asked for its health", "server", s.target.Server, "service", service,
+		"verified", verified, "coldMs", ms(coldFor))
 }
 
 // endVerify applies the answer to a health request and returns how long the server stays cold, and whether it has answered for itself.
--- a/internal/tier/roster/statement_test.go
+++ b/internal/tier/roster/statement_test.go
@@ -223,11 +223,12 @@
 		assertResting(t, r, later.Add(2*time.Second), "a", false)
 	})
 	t.Run("is gone if the server was lost again", func(t *testing.T) {
-		r := newLost()
-		r.HearRest(later, "a", r.Speaker("a", of, later), time.Minute)
-		r.RecordLoss(later.Add(time.Second), "a", of)
-		r.Update(later.Add(2*time.Second), again("a"))
-		assertResting(t, r, later.Add(2*time.Second), "a", false)
+		r, of := pair(), entry("b").Start()
+		r.RecordLoss(lost, "b", of)
+		r.HearRest(later, "b", r.Speaker("b", of, later), time.Minute)
+		r.RecordLoss(later.Add(time.Second), "b", of)
+		r.Update(later.Add(2*time.Second), again("b"))
+		assertResting(t, r, later.Add(2*time.Second), "b", false)
 	})
 	t.Run("is gone if it said that it leaves and has had the time to", func(t *testing.T) {
 		r := newLost()
