reader: let a new VM go by its rank only once it knows the others

A VM that has not read the store itself goes by its rank from 0.5 s after its start. Neither the VMs that read first nor those that clients wait for are concerned (TestTurn).

--- a/internal/tier/reader/reader.go
+++ b/internal/tier/reader/reader.go
@@ -15,6 +15,8 @@
 	startDelay    = 300 * time.Millisecond
 	maxStartDelay = 1200 * time.Millisecond
 	startSpread   = 300 * time.Millisecond
+	// minRankAge is the age of a VM from which it goes by its rank. A younger one knows few others, and all would take themselves for the first.
+	minRankAge = 500 * time.Millisecond
 	// maxUnconfirmed is how long a VM relies on the last answer of the store that another one had. Watchers have one each watchTime, and the
 	// heartbeats that say so are some tenths of a second apart.
 	maxUnconfirmed = 1900 * time.Millisecond
@@ -65,7 +67,7 @@
 	case t.Empty:
 		return max(0, t.startDelay()-t.Age), true
 	case t.Rank < NumWatchers:
-		return 0, true
+		return max(0, minRankAge-t.Age), true
 	}
 	return wait, true
 }
--- a/internal/tier/reader/reader_test.go
+++ b/internal/tier/reader/reader_test.go
@@ -300,7 +300,7 @@
 			t.Errorf("%+v: waits %v, may call %v; want %v, %v", turn, d, ok, want, may)
 		}
 	}
-	t.Run("of a watcher comes at once", func(t *testing.T) { assertWait(t, reader.Turn{Rank: 2}, 0, true) })
+	t.Run("of a watcher comes at once", func(t *testing.T) { assertWait(t, reader.Turn{Rank: 2, Age: time.Second}, 0, true) })
 	t.Run("of another comes when nobody has confirmed its copy for long", func(t *testing.T) {
 		assertWait(t, reader.Turn{Rank: 3, Unconfirmed: 1600 * time.Millisecond}, 360*time.Millisecond, true)
 		assertWait(t, reader.Turn{Rank: 3, Unconfirmed: 2 * time.Second}, 0, true)
@@ -315,7 +315,11 @@
 			t.Error("it goes on")
 		}
 	})
-	t.Run("of one that is cut off comes at once", func(t *testing.T) { assertWait(t, reader.Turn{Rank: 0, Alone: true}, 0, true) })
+	t.Run("of one that is cut off comes at once", func(t *testing.T) { assertWait(t, reader.Turn{Rank: 0, Alone: true, Age: time.Second}, 0, true) })
+	t.Run("of a new one that has a copy waits until it knows its rank", func(t *testing.T) {
+		assertWait(t, reader.Turn{Rank: 0, Age: 100 * time.Millisecond}, 400*time.Millisecond, true)
+		assertWait(t, reader.Turn{Rank: 0, Age: 100 * time.Millisecond, Watching: true}, 0, true)
+	})
 	t.Run("of a new one waits for the others", func(t *testing.T) {
 		assertWait(t, reader.Turn{Empty: true, First: true, Age: 30 * time.Millisecond}, 0, true)
 		assertWait(t, reader.Turn{Empty: true, Alone: true}, 300*time.Millisecond, true)
