Tell other VMs of a configuration that can't be used

Cause: since changes are announced at once, and new VMs let others call first, a VM may get an update from another one before its own call brings it. The update holds the configuration in force in the place of the one that can't be used, so nothing told the VM of that. Before the announcements the same could happen to VMs that don't watch the store; their operators heard nothing.

Updates name the configuration that their sender refuses; the receiver takes that over unless a later one is in force. So all VMs say it, not only those that watch the store.

--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -94,6 +94,8 @@
 	settleAt time.Time
 	// refused is the last configuration that could not be used since the one in force was published, or nil.
 	refused *belief.Refused
+	// tableRevision is the revision of the last configuration that was published and could be used.
+	tableRevision int64
 	// eraAt is when the mirror took over the era of the store, heldAskedAt when this VM last asked another one for what that holds.
 	eraAt, heldAskedAt time.Time
 
--- a/internal/tier/edge/read.go
+++ b/internal/tier/edge/read.go
@@ -364,6 +364,7 @@
 	d := e.dispatch
 	switch ev := ev.(type) {
 	case source.TablePublished:
+		e.tableRevision = max(e.tableRevision, revision)
 		if e.refused != nil && e.refused.Revision < revision {
 			e.refused = nil
 		}
--- a/internal/tier/edge/updates.go
+++ b/internal/tier/edge/updates.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"kumquatreel.example/kumquatreel/internal/tier/belief"
 	"kumquatreel.example/kumquatreel/internal/tier/mirror"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
 )
@@ -37,6 +38,8 @@
 	Era      int64         `json:"era"`
 	AsOf     int64         `json:"asOf"`
 	Items    []mirror.Item `json:"items"`
+	// Refused is a later configuration that the sender can't use, as the receiver won't hear of it from the store.
+	Refused *belief.Refused `json:"refused,omitempty"`
 }
 
 // lacks reports whether another VM has something of the store that this one lacks. A VM that has started since what the store has lost was
@@ -113,9 +116,20 @@
 		return errors.Errorf("decode updates from %s: %w", from.VM, err)
 	}
 	e.applyUpdate(mirror.Update{Era: n.Era, Items: n.Items, Since: since, AsOf: n.AsOf, Complete: n.Complete}, string(from.VM))
+	e.adoptRefused(n.Refused)
 	return nil
 }
 
+// adoptRefused records that another VM can't use a configuration that is later than the one in force here. That one counts as published again at the
+// revision of the other: the mirror keeps it in the other's place.
+func (e *Edge) adoptRefused(r *belief.Refused) {
+	e.mirrorMu.Lock()
+	defer e.mirrorMu.Unlock()
+	if r != nil && r.Revision >= e.tableRevision && (e.refused == nil || r.Revision > e.refused.Revision) {
+		e.refused = r
+	}
+}
+
 // serveUpdates sends another VM the changes since a revision of an era, or the complete content of the store if that is another era or
 // some removals since that revision are no longer known.
 func (e *Edge) serveUpdates(w http.ResponseWriter, r *http.Request) {
@@ -130,7 +144,7 @@
 		return
 	}
 	e.mirrorMu.Lock()
-	n := updates{Era: e.mirror.Era(), AsOf: e.mirror.AsOf()}
+	n := updates{Era: e.mirror.Era(), AsOf: e.mirror.AsOf(), Refused: e.refused}
 	if era != n.Era || since < e.mirror.CompactRevision() {
 		since, n.Complete = 0, true
 	}
--- a/internal/tier/edge/updates_test.go
+++ b/internal/tier/edge/updates_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/tier/belief"
 	"kumquatreel.example/kumquatreel/internal/tier/peers"
 )
 
@@ -84,3 +85,19 @@
 		}
 	})
 }
+
+// A VM gets updates from another one that could not use a configuration, before its own call brings it: its operator must hear of that all the same.
+func TestRefusedPassedOn(t *testing.T) {
+	e := newFleetMember(t, 0)
+	e.tableRevision = 5
+	for _, tc := range []struct{ revision, want int64 }{{4, 0}, {5, 5}, {7, 7}, {6, 7}, {9, 9}} {
+		e.adoptRefused(&belief.Refused{Key: "config", Revision: tc.revision})
+		got := int64(0)
+		if r := e.refusedConfig(); r != nil {
+			got = r.Revision
+		}
+		if got != tc.want {
+			t.Errorf("after revision %d that of %d is refused, want %d", tc.revision, got, tc.want)
+		}
+	}
+}
