Ask a server that was lost for its health until it answers

Cause: a health request was sent on each answer of such a server, at most one each 0.3 s. If the first one failed, as under load, the server went on to count as cold, got no requests while the other had room, and so was not asked again.

The VM goes on to ask each 0.3 s, 10 times at most, as long as the server may be cold and wants requests.

--- a/internal/tier/edge/dispatch.go
+++ b/internal/tier/edge/dispatch.go
@@ -71,8 +71,8 @@
 	serverHold int64
 	// flights holds the attempts in flight by server.
 	flights map[ident.Server][]*flight
-	// verifyAt is when a server that may have started again may be asked for its health next.
-	verifyAt map[ident.Server]time.Time
+	// verifying holds the servers that are being asked for their health.
+	verifying sets.Set[ident.Server]
 	// serving is the number of VMs that serve clients, including this one.
 	serving int
 	// even says that pace and the news of other VMs are used.
@@ -430,7 +430,7 @@
 		change.limit, change.badLimit = d.observeLimit(now, now.Add(-took), server, start, res.Answer.Header.Get(names.Limit))
 		d.observeStatement(now, server, start, res.Answer, names, &change)
 		d.roster.RecordAnswer(now, server, s.start, res.Opened)
-		change.verify = d.wantsHealth(now, server)
+		change.verify = d.beginVerify(now, server)
 	}
 	if res.ServerLost() {
 		d.roster.RecordLoss(now, server, s.start)
@@ -479,7 +479,6 @@
 	defer d.mu.Unlock()
 	d.retries.Prune(now)
 	d.warmupLimiter.Prune(now)
-	maps.DeleteFunc(d.verifyAt, func(_ ident.Server, at time.Time) bool { return !now.Before(at) })
 	d.pacer.Prune(now, func(s ident.Server) bool { return d.roster.Member(s) != nil })
 	d.roster.PruneStatements(now)
 	if d.table == nil {
--- a/internal/tier/edge/verify.go
+++ b/internal/tier/edge/verify.go
@@ -6,13 +6,18 @@
 	"time"
 
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/base/sets"
 	"kumquatreel.example/kumquatreel/internal/tier/header"
 	"kumquatreel.example/kumquatreel/internal/tier/link"
 	"kumquatreel.example/kumquatreel/internal/tier/roster"
 )
 
-// verifyInterval is the time between two health requests to a server that may have started again, and the time in which each is to be answered.
-const verifyInterval = 300 * time.Millisecond
+const (
+	// verifyInterval is the time between two health requests to a server that may have started again, and the time in which each is to be answered.
+	verifyInterval = 300 * time.Millisecond
+	// maxVerifyTries bounds the health requests after one answer of such a server.
+	maxVerifyTries = 10
+)
 
 // mayBeCold reports whether a server gets requests at the rate of a cold one: it is cold, or it was lost and may have started again. The
 // caller holds the lock.
@@ -23,25 +28,53 @@
 	return d.coldRate(m.Entry().Service) > 0 && m.MayHaveRestarted(now, d.table.Service(m.Entry().Service).ColdFor)
 }
 
-// wantsHealth reports whether a server that has answered is to be asked for its health, since it may have started again and be cold. The caller holds the
-// lock.
-func (d *dispatch) wantsHealth(now time.Time, server ident.Server) bool {
-	m := d.roster.Member(server)
-	if m == nil || m.Cold(now) || !d.mayBeCold(now, m) || now.Before(d.verifyAt[server]) {
-		return false
-	}
-	if d.table.Service(m.Entry().Service).HealthPath == "" || d.roster.Resting(now, server) || d.pacer.Delay(now, server, false) > 0 {
+// beginVerify reports whether a server that has answered is to be asked for its health, since it may have started again and be cold, and nobody does. The
+// caller holds the lock, and calls endVerify later.
+func (d *dispatch) beginVerify(now time.Time, server ident.Server) bool {
+	if d.verifying.Has(server) || !d.wantsHealth(now, server) {
 		return false
 	}
-	if d.verifyAt == nil {
-		d.verifyAt = make(map[ident.Server]time.Time)
+	if d.verifying == nil {
+		d.verifying = make(sets.Set[ident.Server])
 	}
-	d.verifyAt[server] = now.Add(verifyInterval)
-	return true
+	return d.verifying.Add(server)
+}
+
+func (d *dispatch) endVerify(server ident.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.verifying, server)
+}
+
+// wantsHealth reports whether a health request may be sent to a server that may be cold. The caller holds the lock.
+func (d *dispatch) wantsHealth(now time.Time, server ident.Server) bool {
+	m := d.roster.Member(server)
+	return m != nil && !m.Cold(now) && d.mayBeCold(now, m) && d.table.Service(m.Entry().Service).HealthPath != "" &&
+		!d.roster.Resting(now, server) && d.pacer.Delay(now, server, false) <= 0
 }
 
-// verify asks a server for its health, so that it gets all its requests again if it has not started again or is not cold.
+// verify asks a server for its health until it answers, so that it gets all its requests again if it has not started again or is not cold: while it
+// counts as cold it may get too few requests to ask on their answers.
 func (e *Edge) verify(service ident.Service, s sending) {
+	d := e.dispatch
+	defer d.endVerify(s.target.Server)
+	for range maxVerifyTries {
+		next := time.Now().Add(verifyInterval)
+		if e.askHealth(service, s) {
+			return
+		}
+		time.Sleep(time.Until(next))
+		d.mu.Lock()
+		wanted := d.wantsHealth(time.Now(), s.target.Server)
+		d.mu.Unlock()
+		if !wanted {
+			return
+		}
+	}
+}
+
+// askHealth sends a health request to a server and reports whether it has told its state.
+func (e *Edge) askHealth(service ident.Service, s sending) bool {
 	path := e.dispatch.current().Service(service).HealthPath
 	ctx, cancel := context.WithTimeout(context.Background(), verifyInterval)
 	defer cancel()
@@ -50,13 +83,14 @@
 		Deadline: time.Now().Add(verifyInterval), MaxConnections: s.connections, Permit: &link.Permit{},
 	})
 	defer res.Answer.Release()
-	coldFor, verified := e.dispatch.endVerify(time.Now(), s, res, e.names)
+	coldFor, verified := e.dispatch.observeHealth(time.Now(), s, res, e.names)
 	e.log.Info(componentServers, "server was lost, asked for its health", "server", s.target.Server, "service", service,
 		"verified", verified, "coldMs", ms(coldFor))
+	return verified
 }
 
-// endVerify applies the answer to a health request and returns how long the server stays cold, and whether it has answered for itself.
-func (d *dispatch) endVerify(now time.Time, s sending, res link.Result, names header.Names) (coldFor time.Duration, verified bool) {
+// observeHealth applies the answer to a health request and returns how long the server stays cold, and whether it has answered for itself.
+func (d *dispatch) observeHealth(now time.Time, s sending, res link.Result, names header.Names) (coldFor time.Duration, verified bool) {
 	if res.Answer == nil || res.Answer.Header.Get(names.Server) != string(s.target.Server) || res.Answer.Header.Get(names.NotRun) != "" {
 		return 0, false
 	}
