Keep VMs alive and able to end when the reader of their log is away

Seen: when a log collector closes its pipe, edge and serve end at their next line by signal 13, requests in flight without answers; when it stays but never reads, edge serves and is still there after SIGTERM and the grace period of 6 s.

Cause: SIGPIPE ends a Go program that doesn't ask for it, and the log's writer blocked in the full pipe while the end of the process waited for it. bufio.Writer keeps its first error, so a log on a full device stayed silent for good.

Change: package sink. Daemon commands (edge, serve, demo, the laboratory's platform, backend and run) ignore SIGPIPE and write through a bounded queue that never blocks; lost lines are counted on a metric and told by one line when the stream takes lines again. package logs hands over whole lines, so that a dropped piece tears none. The standard library's log goes the same way. Commands that print results still end with their reader.

Measured, before: TestLogReaderAway/gone "not observed within 15s: the VM is ready", stuck "the VM is there 6s after SIGTERM", full "not observed within 15s: a metric counts the lines that are lost"; reader_away.txtar fails at the first query, connection refused.

--- a/cmd/kumquatlab/main.go
+++ b/cmd/kumquatlab/main.go
@@ -20,17 +20,17 @@
 		{
 			Name: "platform", Short: "Run the platform stand-in",
 			Long: "Serves published documents and, on a second address, controls that simulate outages and stale reads.\n\nExample: kumquatlab platform --dir examples/registry --listen 127.0.0.1:7400 --control 127.0.0.1:7401",
-			Run:  &platformCommand{},
+			Run:  &platformCommand{}, Daemon: true,
 		},
 		{
 			Name: "backend", Short: "Run backend server stand-ins",
 			Long: "Serves the backend servers of an example deployment until SIGTERM or SIGINT.\n\nExample: kumquatlab backend --deployment registry",
-			Run:  &backendCommand{},
+			Run:  &backendCommand{}, Daemon: true,
 		},
 		{
 			Name: "run", Short: "Run a complete example",
 			Long: "Runs platform, backend servers and entry VMs of an example in one process until SIGTERM or SIGINT.\n\nExample: kumquatlab run --deployment registry",
-			Run:  &runCommand{},
+			Run:  &runCommand{}, Daemon: true,
 		},
 		{
 			Name: "measure", Short: "Measure the system",
--- a/cmd/kumquatlab/stands.go
+++ b/cmd/kumquatlab/stands.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"kumquatreel.example/kumquatreel/internal/base/sink"
 	"kumquatreel.example/kumquatreel/internal/stand/local"
 	"kumquatreel.example/kumquatreel/internal/stand/sample"
 	"kumquatreel.example/kumquatreel/internal/stand/server"
@@ -42,7 +43,11 @@
 	return sample.Small(o.Port)
 }
 
-func waitForSignal() {
+// waitForSignal prints a line that says what runs, and waits for SIGTERM or SIGINT.
+func waitForSignal(running ...any) {
+	out, closeOut := sink.Open(os.Stdout, nil)
+	defer closeOut()
+	_, _ = fmt.Fprintln(out, running...)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
@@ -96,8 +101,7 @@
 			return errors.Errorf("platform: %w", err)
 		}
 	}
-	fmt.Println("platform ready")
-	waitForSignal()
+	waitForSignal("platform ready")
 	return nil
 }
 
@@ -122,8 +126,7 @@
 		}
 		defer stop()
 	}
-	fmt.Println("backend servers ready")
-	waitForSignal()
+	waitForSignal("backend servers ready")
 	return nil
 }
 
@@ -133,7 +136,9 @@
 
 // Execute runs a complete example until SIGTERM or SIGINT.
 func (c *runCommand) Execute([]string) error {
-	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	out, closeLog := sink.Open(os.Stderr, nil)
+	defer closeLog()
+	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
 	fleet, stop, err := local.Start(c.deployment(), local.Options{Network: local.TCP, Log: logger, Warm: true, Seed: 1})
 	if err != nil {
 		return errors.Errorf("run: %w", err)
@@ -144,7 +149,6 @@
 	if err := fleet.WaitReady(ctx); err != nil {
 		return errors.Errorf("run: %w", err)
 	}
-	fmt.Println("ready: callers use", fleet.Deployment.List().VMs[0].Client)
-	waitForSignal()
+	waitForSignal("ready: callers use", fleet.Deployment.List().VMs[0].Client)
 	return nil
 }
--- a/cmd/kumquatreel/demo.go
+++ b/cmd/kumquatreel/demo.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
+	"kumquatreel.example/kumquatreel/internal/base/sink"
 	"kumquatreel.example/kumquatreel/internal/conf/schema"
 	"kumquatreel.example/kumquatreel/internal/node/daemon"
 	"kumquatreel.example/kumquatreel/internal/stand/local"
@@ -42,27 +45,30 @@
 	defer stop()
 	cl, closeIdle := fleet.Client(demoTeam)
 	defer closeIdle()
-	d := &demo{fleet: fleet, client: cl}
+	out, closeOut := sink.Open(os.Stdout, nil)
+	defer closeOut()
+	d := &demo{out: out, fleet: fleet, client: cl}
 	for _, step := range []func(context.Context) error{d.ready, d.directory, d.query, d.booking, d.domainOut, d.domainBack, d.keyWithdrawn} {
 		if err := step(ctx); err != nil {
 			return errors.Errorf("demo: %w", err)
 		}
 	}
-	fmt.Println("done")
+	_, _ = fmt.Fprintln(d.out, "done")
 	return nil
 }
 
 type demo struct {
+	out    io.Writer
 	fleet  *local.Fleet
 	client *client.Client
 }
 
 func (d *demo) ready(ctx context.Context) error {
-	fmt.Println("a platform, 24 backend servers and 3 entry VMs run over loopback")
+	_, _ = fmt.Fprintln(d.out, "a platform, 24 backend servers and 3 entry VMs run over loopback")
 	if err := d.fleet.WaitReady(ctx); err != nil {
 		return err
 	}
-	fmt.Println("the VMs have settled on one view of the fleet")
+	_, _ = fmt.Fprintln(d.out, "the VMs have settled on one view of the fleet")
 	clock.Sleep(ctx, firstLeaseDelay)
 	return nil
 }
@@ -72,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("the directory lists %d addresses and lets clients cache them for %d ms\n", len(dir.Addresses), dir.TTLMillis)
+	_, _ = fmt.Fprintf(d.out, "the directory lists %d addresses and lets clients cache them for %d ms\n", len(dir.Addresses), dir.TTLMillis)
 	return nil
 }
 
@@ -83,7 +89,7 @@
 			return err
 		}
 		c := answer.Coverage
-		fmt.Printf("query %s: %d of %d shards, revision %d, %.1f ms\n", answer.RequestID, c.Shards, c.ShardsTotal,
+		_, _ = fmt.Fprintf(d.out, "query %s: %d of %d shards, revision %d, %.1f ms\n", answer.RequestID, c.Shards, c.ShardsTotal,
 			answer.Snapshot.Revision, float64(answer.Timing.TotalMicros)/1000)
 	}
 	return nil
@@ -102,7 +108,7 @@
 	}
 	runs := 0
 	d.fleet.Backends(func(_ schema.ServerText, s *server.Server) { runs += s.Record().RunsByRecord["book-17"] })
-	fmt.Printf("a booking was sent three times with one ticket and ran %d time(s)\n", runs)
+	_, _ = fmt.Fprintf(d.out, "a booking was sent three times with one ticket and ran %d time(s)\n", runs)
 	if runs != 1 {
 		return errors.Newf("the booking ran %d times, want once", runs)
 	}
@@ -118,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("failure domain %s is out: %d of %d shards, %d new runs there\n", demoDomain, answer.Coverage.Shards,
+	_, _ = fmt.Fprintf(d.out, "failure domain %s is out: %d of %d shards, %d new runs there\n", demoDomain, answer.Coverage.Shards,
 		answer.Coverage.ShardsTotal, d.runsInDomain(demoDomain)-before)
 	if d.runsInDomain(demoDomain) != before {
 		return errors.Newf("failure domain %s received work while out of service", demoDomain)
@@ -134,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("failure domain %s is back: %d of %d shards\n", demoDomain, answer.Coverage.Shards, answer.Coverage.ShardsTotal)
+	_, _ = fmt.Fprintf(d.out, "failure domain %s is back: %d of %d shards\n", demoDomain, answer.Coverage.Shards, answer.Coverage.ShardsTotal)
 	return nil
 }
 
@@ -163,6 +169,6 @@
 	if !errors.As(err, &refused) || !refused.NotRun() {
 		return errors.Newf("request with a withdrawn key was not refused: %v", err)
 	}
-	fmt.Println("the team's key was withdrawn and is refused:", refused)
+	_, _ = fmt.Fprintln(d.out, "the team's key was withdrawn and is refused:", refused)
 	return nil
 }
--- a/cmd/kumquatreel/edge.go
+++ b/cmd/kumquatreel/edge.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"kumquatreel.example/kumquatreel/internal/base/sink"
 	"kumquatreel.example/kumquatreel/internal/conf/setup"
 	"kumquatreel.example/kumquatreel/internal/tier/edge"
 	"kumquatreel.example/kumquatreel/internal/tier/logs"
@@ -36,11 +37,16 @@
 	}
 	// The runtime collects harder before the memory of the VM is used up. It doesn't count the pages of the program itself.
 	debug.SetMemoryLimit(max(settings.MemoryBytes()/2, min(settings.MemoryBytes()/5*4, settings.MemoryBytes()-programBytes)))
-	logger, closeLog := logs.New(os.Stdout, level)
+	out, closeOut := sink.Open(os.Stdout, logs.LostLines)
+	logger, flush := logs.New(out, level)
+	closeLog := func() {
+		flush()
+		closeOut()
+	}
 	defer closeLog()
 	store, closeStore := platform.NewStore(settings.StoreAddress())
 	defer closeStore()
-	opts := edge.Options{Path: c.Settings, Names: platform.Names(), Store: store, Decode: platform.Decode, Log: logger}
+	opts := edge.Options{Path: c.Settings, Names: platform.Names(), Store: store, Decode: platform.Decode, Log: logger, LostLogLines: out.Lost}
 	if _, err := rand.Read(opts.Seed[:]); err != nil {
 		return errors.Errorf("edge: %w", err)
 	}
--- a/cmd/kumquatreel/main.go
+++ b/cmd/kumquatreel/main.go
@@ -5,9 +5,6 @@
 	"fmt"
 	"os"
 
-	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
-
 	"kumquatreel.example/kumquatreel/internal/base/runner"
 )
 
@@ -20,12 +17,12 @@
 		{
 			Name: "serve", Short: "Run an entry VM",
 			Long: "Runs the process of one entry VM until it gets SIGTERM or SIGINT, then shuts down gracefully: requests in progress are completed.\n\nExample: kumquatreel serve --settings examples/registry/vm0.jsonc",
-			Run:  &serveCommand{},
+			Run:  &serveCommand{}, Daemon: true,
 		},
 		{
 			Name: "edge", Short: "Run an entry VM on the users' platform",
 			Long: "Runs the process of one entry VM that sends requests directly to backend servers, until it gets SIGTERM or SIGINT, then shuts down within the grace period; another SIGINT ends it at once. SIGHUP reloads the settings.\n\nExample: kumquatreel edge --settings /etc/kumquatreel/settings.jsonc",
-			Run:  &edgeCommand{},
+			Run:  &edgeCommand{}, Daemon: true,
 		},
 		{
 			Name: "check", Short: "Check settings and documents",
@@ -35,7 +32,7 @@
 		{
 			Name: "demo", Short: "Show the system on a small deployment",
 			Long: "Runs a platform, backend servers and three entry VMs in this process over loopback, sends requests and prints the results.\n\nExample: kumquatreel demo",
-			Run:  &demoCommand{},
+			Run:  &demoCommand{}, Daemon: true,
 		},
 		{
 			Name: "query", Short: "Send a request",
@@ -75,14 +72,6 @@
 	}, args, os.Stdout, os.Stderr)
 }
 
-func newLogger(level string) (*log.Logger, error) {
-	parsed, err := log.ParseLevel(level)
-	if err != nil {
-		return nil, errors.Errorf("log level: %w", err)
-	}
-	return log.NewWithOptions(os.Stderr, log.Options{Level: parsed, ReportTimestamp: true, Formatter: log.LogfmtFormatter}), nil
-}
-
 type versionCommand struct{}
 
 // Execute prints the version.
--- a/cmd/kumquatreel/script_test.go
+++ b/cmd/kumquatreel/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"kumquatreel.example/kumquatreel/internal/stand/output"
 	"kumquatreel.example/kumquatreel/internal/wire/netio"
 )
 
@@ -43,6 +45,7 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"start":    scriptStart,
+			"start-to": scriptStartTo,
 			"pause":    scriptPause,
 			"resume":   scriptSignal(syscall.SIGCONT),
 			"freeze":   scriptSignal(syscall.SIGSTOP),
@@ -96,38 +99,53 @@
 
 // scriptStart runs a program in the background under a name, until the script ends: start vm0 kumquatreel serve ….
 func scriptStart(ts *testscript.TestScript, _ bool, args []string) {
+	log, err := os.Create(ts.MkAbs(args[0] + ".log"))
+	ts.Check(err)
+	startProgram(ts, args, log, func() { _ = log.Close() })
+}
+
+// scriptStartTo is scriptStart for a program the reader of whose output is away or stuck: start-to gone vm0 kumquatreel serve ….
+func scriptStartTo(ts *testscript.TestScript, _ bool, args []string) {
+	kind, err := output.KindString(args[0])
+	ts.Check(err)
+	out, closeOut, err := output.Open(kind)
+	ts.Check(err)
+	startProgram(ts, args[1:], out, closeOut)
+}
+
+// startProgram runs args[1] with the rest of args as its arguments, under the name args[0], until the script ends.
+func startProgram(ts *testscript.TestScript, args []string, out *os.File, closeOut func()) {
 	path, err := exec.LookPath(args[1])
 	if err != nil {
 		path = filepath.Join(filepath.SplitList(ts.Getenv("PATH"))[0], args[1])
 	}
-	log, err := os.Create(ts.MkAbs(args[0] + ".log"))
-	ts.Check(err)
 	cmd := exec.CommandContext(context.Background(), path, args[2:]...)
 	cmd.Dir = ts.MkAbs(".")
-	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Stdout, cmd.Stderr = out, out
+	exit := ts.MkAbs(args[0] + ".exit")
+	if err := os.Remove(exit); !errors.Is(err, os.ErrNotExist) {
+		ts.Check(err)
+	}
 	ts.Check(cmd.Start())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		_ = cmd.Wait()
+		_ = os.WriteFile(exit, []byte(cmd.ProcessState.String()+"\n"), 0o600)
 	}()
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]+".pid"), []byte(strconv.Itoa(cmd.Process.Pid)), 0o600))
 	ts.Defer(func() {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
 		<-ended
-		_ = log.Close()
+		closeOut()
 	})
 }
 
-// scriptGone waits, for at most 1 min, until the named background process has ended: gone vm0.
+// scriptGone waits, for at most 1 min, until the named background process has ended, and its file vm0.exit says how: gone vm0.
 func scriptGone(ts *testscript.TestScript, _ bool, args []string) {
-	raw, err := os.ReadFile(ts.MkAbs(args[0] + ".pid"))
-	ts.Check(err)
-	pid, err := strconv.Atoi(string(raw))
-	ts.Check(err)
 	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		if syscall.Kill(pid, 0) != nil {
+		if raw, err := os.ReadFile(ts.MkAbs(args[0] + ".exit")); err == nil && len(raw) > 0 {
 			return
 		}
 	}
--- a/cmd/kumquatreel/serve.go
+++ b/cmd/kumquatreel/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"os"
@@ -8,9 +9,11 @@
 	"syscall"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"kumquatreel.example/kumquatreel/internal/base/clock"
+	"kumquatreel.example/kumquatreel/internal/base/sink"
 	"kumquatreel.example/kumquatreel/internal/conf/config"
 	"kumquatreel.example/kumquatreel/internal/node/daemon"
 	"kumquatreel.example/kumquatreel/internal/wire/netio"
@@ -29,11 +32,18 @@
 	if err != nil {
 		return errors.Errorf("serve: %w", err)
 	}
-	logger, err := newLogger(settings.LogLevel())
+	level, err := log.ParseLevel(settings.LogLevel())
 	if err != nil {
-		return errors.Errorf("serve: %w", err)
+		return errors.Errorf("serve: log level: %w", err)
 	}
-	opts := daemon.Options{Network: netio.TCP{}, Clock: &clock.System{}, Log: logger}
+	logOptions := log.Options{Level: level, ReportTimestamp: true, Formatter: log.LogfmtFormatter}
+	out, closeLog := sink.Open(os.Stderr, func(lost int64) []byte {
+		var b bytes.Buffer
+		log.NewWithOptions(&b, logOptions).Warn("log lines lost", "count", lost)
+		return b.Bytes()
+	})
+	defer closeLog()
+	opts := daemon.Options{Network: netio.TCP{}, Clock: &clock.System{}, Log: log.NewWithOptions(out, logOptions), LostLogLines: out.Lost}
 	if _, err := rand.Read(opts.Seed[:]); err != nil {
 		return errors.Errorf("serve: %w", err)
 	}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -50,6 +50,8 @@
 	Network netio.Network
 	Clock   clock.Source
 	Log     *log.Logger
+	// LostLogLines returns how many lines the log's writer has lost. It is nil if that isn't known.
+	LostLogLines func() int64
 	// Seed seeds the random source, from which the incarnation is derived too, so it must differ at every start.
 	Seed [32]byte
 }
@@ -62,6 +64,9 @@
 		settings: settings, clock: opts.Clock, metrics: metric.New(),
 		log: opts.Log.WithPrefix("vm"),
 	}
+	if opts.LostLogLines != nil {
+		d.metrics.WatchLostLogLines(opts.LostLogLines)
+	}
 	var cleanup func()
 	d.mesh, cleanup = mesh.New(settings, opts.Clock, opts.Network, opts.Log, d.metrics, incarnation, deriveRand(rng))
 	d.cleanups = append(d.cleanups, cleanup)
--- a/internal/node/metric/metric.go
+++ b/internal/node/metric/metric.go
@@ -69,6 +69,13 @@
 	return s
 }
 
+// WatchLostLogLines adds a metric of the lines that the log's writer has lost. It must be called only once.
+func (s *Set) WatchLostLogLines(lost func() int64) {
+	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "kumquatreel_log_lines_lost_total", Help: "Log lines that were lost since the reader of the log was away or slow.",
+	}, func() float64 { return float64(lost()) }))
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (s *Set) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/internal/tier/edge/edge.go
+++ b/internal/tier/edge/edge.go
@@ -130,6 +130,8 @@
 	Store  source.Store
 	Decode source.Decode
 	Log    *logs.Log
+	// LostLogLines returns how many lines the log's writer has lost. It is nil if that isn't known.
+	LostLogLines func() int64
 	// Seed is the seed of the process's random source.
 	Seed [32]byte
 }
@@ -164,6 +166,9 @@
 	e.metrics.watchHeld(e.keeper.Held)
 	e.metrics.watchHeldBytes(links.HeldBytes)
 	e.metrics.watchStoreAge(func() time.Duration { return e.storeAge(time.Now()) })
+	if opts.LostLogLines != nil {
+		e.metrics.watchLostLogLines(opts.LostLogLines)
+	}
 	e.cleanups = append(e.cleanups, closeLinks, closeWorkers)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cleanups = append(e.cleanups, cancel)
--- a/internal/tier/edge/meter.go
+++ b/internal/tier/edge/meter.go
@@ -109,6 +109,13 @@
 	}, func() float64 { return age().Seconds() }))
 }
 
+// watchLostLogLines adds a metric of the lines that the log's writer has lost.
+func (m *meter) watchLostLogLines(lost func() int64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "kumquatreel_edge_log_lines_lost_total", Help: "Log lines that were lost since the reader of the log was away or slow.",
+	}, func() float64 { return float64(lost()) }))
+}
+
 // watchHeld adds metrics of what callers make the VM hold, by stage.
 func (m *meter) watchHeld(held func(hold.Stage) (int64, int)) {
 	for _, s := range hold.StageValues() {
--- a/internal/tier/logs/logs.go
+++ b/internal/tier/logs/logs.go
@@ -1,7 +1,7 @@
 package logs
 
 import (
-	"bufio"
+	"bytes"
 	"io"
 	"maps"
 	"slices"
@@ -17,7 +17,7 @@
 	maxQueuedLines = 2048
 	// maxLinesPerSecond bounds the lines with the same message in one second.
 	maxLinesPerSecond = 12
-	// flushInterval bounds how long a line stays in the write buffer.
+	// flushInterval bounds how long a line stays in the write buffer, which is written when it holds writeBufferBytes.
 	flushInterval    = 200 * time.Millisecond
 	writeBufferBytes = 16 << 10
 	// maxFieldBytes is the length to which a text in a line is cut; the stack of a panic fits in part.
@@ -33,7 +33,9 @@
 	inner *log.Logger
 	// level duplicates the level of inner, since inner is locked while it writes.
 	level log.Level
-	out   *bufio.Writer
+	w     io.Writer
+	// out holds whole lines that are to be written.
+	out   *bytes.Buffer
 	lines chan line
 
 	mu             sync.Mutex
@@ -51,11 +53,12 @@
 	fields    []any
 }
 
-// New returns a Log that writes lines of the given level and above to w, and a function that writes the queued lines and
+// New returns a Log that writes lines of the given level and above to w, whole lines at a time, and a function that writes the queued lines and
 // stops the writer.
 func New(w io.Writer, level log.Level) (*Log, func()) {
-	out := bufio.NewWriterSize(w, writeBufferBytes)
+	out := &bytes.Buffer{}
 	l := &Log{
+		w:       w,
 		out:     out,
 		level:   level,
 		inner:   log.NewWithOptions(out, log.Options{Level: level, Formatter: log.JSONFormatter}),
@@ -132,13 +135,13 @@
 				l.reportDropped()
 			}
 			flushes++
-			_ = l.out.Flush()
+			l.flush()
 		case <-stop:
 			for len(l.lines) > 0 {
 				l.emit(<-l.lines)
 			}
 			l.reportDropped()
-			_ = l.out.Flush()
+			l.flush()
 			return
 		}
 	}
@@ -152,6 +155,24 @@
 		}
 	}
 	l.inner.Log(ln.level, ln.message, fields...)
+	if l.out.Len() >= writeBufferBytes {
+		l.flush()
+	}
+}
+
+func (l *Log) flush() {
+	if l.out.Len() == 0 {
+		return
+	}
+	_, _ = l.w.Write(l.out.Bytes())
+	l.out.Reset()
+}
+
+// LostLines formats a line that says how many lines a writer has lost.
+func LostLines(lost int64) []byte {
+	var b bytes.Buffer
+	log.NewWithOptions(&b, log.Options{Formatter: log.JSONFormatter}).Warn("log lines lost", "at", time.Now().UTC().Format(timeFormat), "part", "log", "count", lost)
+	return b.Bytes()
 }
 
 // reportDropped logs how many lines were dropped since its last call.
