quota: a team that is removed for a moment keeps what it has used

Cause: SetLimits deleted the state of a team that the configuration doesn't name, so that it came back with its whole burst and all reserves.

Change: the state stays, and goes on as that of a team without requests, until it has all its tokens again: then it is as that of a new team. Teams without a limit are forgotten at once. Related paths read: retry budgets, rates for cold servers and limits that servers name already end by time, not with the entry.

Measured: TestSetLimits "counts what a team has used before it was removed for a moment", before: 226, 223 and 214 admitted in 5 s, want at most 208, for gaps of 0, 0.2 and 1 s; passes now.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -131,7 +131,8 @@
 	return &Limiter{started: now, bounds: b, initialShare: 1, teams: make(map[ident.Team]*team)}
 }
 
-// SetLimits replaces the limits of all teams; teams that are not in limits are removed.
+// SetLimits replaces the limits of all teams. Teams that are not in limits are removed, but what they have used counts if they come back: it is
+// forgotten when a team without requests would have all its tokens again.
 func (l *Limiter) SetLimits(now time.Time, limits map[ident.Team]Limit) {
 	for name, limit := range limits {
 		if limit.Burst < 1 {
@@ -152,11 +153,13 @@
 		t.level = min(t.level, limit.Burst)
 		t.reserve = min(t.reserve, l.capacity(t))
 	}
-	for name := range l.teams {
-		if _, ok := limits[name]; !ok {
-			delete(l.teams, name)
+	maps.DeleteFunc(l.teams, func(name ident.Team, t *team) bool {
+		if _, ok := limits[name]; ok {
+			return false
 		}
-	}
+		l.accrue(now, t)
+		return t.limit.Rate <= 0 || t.level >= t.limit.Burst && t.reserve >= l.capacity(t)
+	})
 }
 
 // StartServing records that the VM starts to serve as one of the given number of VMs. All VMs may have started together, so they share
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -456,6 +456,35 @@
 		f.admitted = f.admitted[100:]
 		f.assertBound(t)
 	})
+	t.Run("counts what a team has used before it was removed for a moment", func(t *testing.T) {
+		for _, gap := range []time.Duration{0, 200 * time.Millisecond, time.Second} {
+			rng := rand.New(rand.NewPCG(6, 1))
+			f := newFleet(quota.Limit{Rate: 10, Burst: 100})
+			f.sendRequests(rng, 0, time.Second, 200, f.anyVM(rng))
+			for _, l := range f.vms {
+				l.SetLimits(start.Add(time.Second), nil)
+			}
+			for _, l := range f.vms {
+				l.SetLimits(start.Add(time.Second+gap), map[ident.Team]quota.Limit{team: f.limit})
+			}
+			f.sendRequests(rng, time.Second+gap, 8*time.Second, 200, f.anyVM(rng))
+			f.assertBound(t)
+		}
+	})
+	t.Run("forgets a removed team that has all its tokens again", func(t *testing.T) {
+		l := quota.New(start.Add(-time.Minute), bounds)
+		l.SetPart(start.Add(-time.Minute), 1, false)
+		l.SetLimits(start, map[ident.Team]quota.Limit{team: {Rate: 10, Burst: 20}})
+		l.Admit(start, team)
+		l.SetLimits(start, nil)
+		if l.Reserve(start, team) == 0 {
+			t.Error("the team is forgotten at once, want what it has used to be known")
+		}
+		l.SetLimits(start.Add(time.Minute), nil)
+		if got := l.Reserve(start.Add(time.Minute), team); got != 0 {
+			t.Errorf("the team is known with a reserve of %v, want it forgotten", got)
+		}
+	})
 	t.Run("without a burst admits the rate", func(t *testing.T) {
 		for _, limit := range []quota.Limit{{Rate: 20}, {Rate: 20, Burst: 0.5}, {Rate: 0.5}} {
 			rng := rand.New(rand.NewPCG(8, 1))
