link: remember a hash of the IDs that a connection has carried

Cause: a connection to a server remembers the IDs of up to 1,024 requests, so that it carries none of them twice, and an ID may be as long as a head may be. Nothing counts these bytes.

Change: a connection remembers 64 bits of each ID, hashed with a seed of the process. Two IDs with one hash cost a new connection and nothing else: the answer is still compared with the whole ID.

Measured: TestLongIDs, 900 requests with IDs of 15,000 bytes on one connection: 14,783,200 bytes held before, want at most 2,097,152; passes now.

--- a/internal/tier/link/conn.go
+++ b/internal/tier/link/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
@@ -66,12 +67,17 @@
 	idleTimeout time.Duration
 }
 
-// carried is a request that a connection has carried, until its deadline.
+// carried is a request that a connection has carried, until its deadline. It holds a hash of the request's ID, which may be long: two IDs with one
+// hash only cost a new connection.
 type carried struct {
-	id    string
+	id    uint64
 	until time.Time
 }
 
+var idSeed = maphash.MakeSeed()
+
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
+
 func newConn(c net.Conn, memory *byteBudget) *conn {
 	limit := &limitedReader{r: c}
 	return &conn{
@@ -110,13 +116,14 @@
 		return true
 	}
 	c.carried = slices.DeleteFunc(c.carried, func(r carried) bool { return now.After(r.until) })
-	return id != "" && !slices.ContainsFunc(c.carried, func(r carried) bool { return r.id == id })
+	hash := hashID(id)
+	return id != "" && !slices.ContainsFunc(c.carried, func(r carried) bool { return r.id == hash })
 }
 
 // recordUse records that the connection has carried a request, and reports whether it may carry further ones.
 func (c *conn) recordUse(id string, until time.Time) bool {
 	c.uses++
-	c.carried = append(c.carried, carried{id, until})
+	c.carried = append(c.carried, carried{hashID(id), until})
 	return len(c.carried) < maxCarried
 }
 
--- a/internal/tier/link/link_test.go
+++ b/internal/tier/link/link_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -234,6 +236,28 @@
 	})
 }
 
+// Guards against connections that hold as much memory as the IDs of the requests that they have carried are long.
+func TestLongIDs(t *testing.T) {
+	const requests, idBytes, mostBytes = 900, 15_000, 2 << 20
+	s, tr := newScriptedServer(t, slices.Repeat([]string{ok("own")}, requests)...), newTransport(t)
+	before := heapBytes()
+	for i := range requests {
+		assertAnswered(t, tr.Do(context.Background(), s.call(fmt.Sprintf("%0*d", idBytes, i))), "own")
+	}
+	if held := heapBytes() - before; held > mostBytes {
+		t.Errorf("a connection holds %d bytes after %d requests, want at most %d", held, requests, mostBytes)
+	}
+	assertDials(t, s, 1)
+}
+
+// heapBytes returns the bytes on the heap that are in use.
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 func TestUnreachable(t *testing.T) {
 	t.Run("server gets nothing, and the result says so", func(t *testing.T) {
 		s := newScriptedServer(t)
