edge: ask for signals before the settings are read

Cause: the program asked for SIGHUP after it had read the settings and opened its log, and until then the signal has its default effect.

Change: it asks first. A reload that comes before the VM runs is carried out when it does.

--- a/cmd/kumquatreel/edge.go
+++ b/cmd/kumquatreel/edge.go
@@ -27,6 +27,9 @@
 // Execute runs a VM on the users' platform until SIGTERM or SIGINT, then shuts it down gracefully; another SIGINT ends the process at once,
 // another SIGTERM doesn't, since a platform may repeat it. SIGHUP reloads the settings.
 func (c *edgeCommand) Execute([]string) error {
+	// SIGHUP would end the process until it is asked for, and an operator may ask all processes of a name to reload.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	settings, err := setup.Load(c.Settings)
 	if err != nil {
 		return errors.Errorf("edge: %w", err)
@@ -50,8 +53,6 @@
 	if _, err := rand.Read(opts.Seed[:]); err != nil {
 		return errors.Errorf("edge: %w", err)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	e, kill, err := edge.New(settings, opts)
 	if err != nil {
 		return errors.Errorf("edge: %w", err)
