Programs under test end with the test

Cause: the tests kill what they have started in a clean-up, which a process that is killed doesn't run.

--- a/cmd/kumquatreel/script_test.go
+++ b/cmd/kumquatreel/script_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"kumquatreel.example/kumquatreel/internal/stand/output"
+	"kumquatreel.example/kumquatreel/internal/stand/child"
 	"kumquatreel.example/kumquatreel/internal/wire/netio"
 )
 
@@ -106,9 +106,9 @@
 
 // scriptStartTo is scriptStart for a program the reader of whose output is away or stuck: start-to gone vm0 kumquatreel serve ….
 func scriptStartTo(ts *testscript.TestScript, _ bool, args []string) {
-	kind, err := output.KindString(args[0])
+	kind, err := child.OutputString(args[0])
 	ts.Check(err)
-	out, closeOut, err := output.Open(kind)
+	out, closeOut, err := child.OpenOutput(kind)
 	ts.Check(err)
 	startProgram(ts, args[1:], out, closeOut)
 }
@@ -119,7 +119,7 @@
 	if err != nil {
 		path = filepath.Join(filepath.SplitList(ts.Getenv("PATH"))[0], args[1])
 	}
-	cmd := exec.CommandContext(context.Background(), path, args[2:]...)
+	cmd := child.Command(context.Background(), path, args[2:]...)
 	cmd.Dir = ts.MkAbs(".")
 	cmd.Stdout, cmd.Stderr = out, out
 	exit := ts.MkAbs(args[0] + ".exit")
--- a/internal/stand/output/output.go
+++ b/internal/stand/child/output.go
@@ -1,4 +1,4 @@
-package output
+package child
 
 import (
 	"os"
@@ -10,24 +10,24 @@
 // fullAfter is how long a pipe takes nothing more until it counts as full.
 const fullAfter = 50 * time.Millisecond
 
-//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Kind -transform=title-lower -output=enums.go
+//go:generate go tool -modfile=../../../tools/go.mod enumer -type=Output -transform=title-lower -output=enums.go
 
-// Kind is what has become of the reader of a stream.
-type Kind int
+// Output is what has become of the reader of a stream.
+type Output int
 
 // The kinds.
 const (
 	// Gone is a pipe whose reader has closed it.
-	Gone Kind = iota
+	Gone Output = iota
 	// Stuck is a pipe that is full and whose reader doesn't read.
 	Stuck
 	// Full is a device without room.
 	Full
 )
 
-// Open opens a stream to write to. The returned function closes it, and its reader if there is one.
-func Open(k Kind) (*os.File, func(), error) {
-	if k == Full {
+// OpenOutput opens a stream to write to. The returned function closes it, and its reader if there is one.
+func OpenOutput(o Output) (*os.File, func(), error) {
+	if o == Full {
 		f, err := os.OpenFile("/dev/full", os.O_WRONLY, 0)
 		if err != nil {
 			return nil, nil, errors.Errorf("open output: %w", err)
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, nil, errors.Errorf("open output: %w", err)
 	}
-	if k == Gone {
+	if o == Gone {
 		return w, func() { _ = w.Close() }, r.Close()
 	}
 	if err := fill(w); err != nil {
