serve: a refused configuration doesn't hide one that others have

Seen: in the simulation a VM that was cut off while a usable configuration and then an unusable one were published keeps the one before both for good, though all others have the usable one in force and are in touch.

Cause: agent.compareRevisions fetched from a peer only what was newer than the refused revision too, and the usable one is older than that.

Change: it fetches what is newer than the configuration in force, but for the very revision that was refused. The list of VMs likewise.

Measured: TestNewsBeforeRefused, before: "vm0 has revision 1 in force, want the newest one that can be used"; passes now, with the tests of fleet, daemon and owner.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -337,15 +337,16 @@
 
 // compareRevisions records whether a peer has a newer configuration and requests newer documents from it.
 func (a *Agent) compareRevisions(now clock.Instant, vm ident.VM, revision, listRevision int64) []Action {
+	// A newer document that was refused may have followed one that the peer has in force.
 	read, readList := a.documents.LastRead()
-	if revision > read {
+	if revision > a.documents.Revision() && revision != read {
 		if _, known := a.newerSince[vm]; !known {
 			a.newerSince[vm] = now
 		}
 		return []Action{FetchDocuments{VM: vm}}
 	}
 	delete(a.newerSince, vm)
-	if listRevision > readList {
+	if listRevision > a.documents.ListRevision() && listRevision != readList {
 		return []Action{FetchDocuments{VM: vm}}
 	}
 	return nil
--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -174,6 +174,29 @@
 	})
 }
 
+// TestNewsBeforeRefused guards against a VM that keeps an old configuration for good because it has read a newer one that can't be used, and never
+// the one between the two that the others have in force.
+func TestNewsBeforeRefused(t *testing.T) {
+	w := newTestFleet(12, 5)
+	assertAllConfirmed(t, w, 10*time.Second)
+	w.sim.Network.Cut = func(from, to ident.VM) bool { return from == "vm0" || to == "vm0" }
+	w.sim.Network.NoPlatform = func(vm ident.VM) bool { return vm == "vm0" }
+	w.doc.Preset = "peak"
+	w.sim.Publish(w.doc)
+	w.sim.Run(w.sim.Now()+3*time.Second, nil)
+	w.doc.Preset = "none"
+	w.sim.Publish(w.doc)
+	w.sim.Network.NoPlatform = nil
+	w.sim.Run(w.sim.Now()+3*time.Second, nil)
+	w.sim.Network.Cut = nil
+	w.sim.Run(w.sim.Now()+3*time.Second, nil)
+	for _, n := range w.sim.Nodes() {
+		if c := n.Agent.Catalog(); c.Preset().Name() != "peak" {
+			t.Errorf("%s has revision %d in force, want the newest one that can be used", n.VM, c.Revision())
+		}
+	}
+}
+
 // TestNewsNeedsItsConfiguration guards against a VM that counts as fresh by a peer's recent read of the platform although the peer has
 // a newer configuration.
 func TestNewsNeedsItsConfiguration(t *testing.T) {
