--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -35,6 +35,14 @@
 // Upper returns the upper bound, as the time since the start of the process.
 func (t Instant) Upper() time.Duration { return t.hi }
 
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Source returns the current instant. It is safe for concurrent use.
 type Source interface {
 	Now() Instant
--- a/internal/tier/reader/fresh.go
+++ b/internal/tier/reader/fresh.go
@@ -1,6 +1,10 @@
 package reader
 
-import "time"
+import (
+	"time"
+
+	"kumquatreel.example/kumquatreel/internal/base/clock"
+)
 
 // Freshness is what a VM knows of the age of its copy of the store. Create one with NewFreshness. It is not safe for concurrent use.
 type Freshness struct {
@@ -17,10 +21,10 @@
 func NewFreshness(now time.Time) Freshness { return Freshness{others: now, watchedAt: now} }
 
 // Read records that the store has answered the VM itself.
-func (f *Freshness) Read(at time.Time) { f.own = later(f.own, at) }
+func (f *Freshness) Read(at time.Time) { f.own = clock.Later(f.own, at) }
 
 // Hear records that another VM, which holds nothing that the copy lacks, has had an answer of the store as of a time.
-func (f *Freshness) Hear(at time.Time) { f.others = later(f.others, at) }
+func (f *Freshness) Hear(at time.Time) { f.others = clock.Later(f.others, at) }
 
 // Observe records whether another VM says now that it watches the store, and whether one has changes that the copy lacks.
 func (f *Freshness) Observe(now time.Time, watched, behind bool) {
@@ -36,7 +40,7 @@
 }
 
 // Age returns the time since the copy was last known to hold all that the store does.
-func (f *Freshness) Age(now time.Time) time.Duration { return now.Sub(later(f.own, f.others)) }
+func (f *Freshness) Age(now time.Time) time.Duration { return now.Sub(clock.Later(f.own, f.others)) }
 
 // ReadAge returns the time since the VM's own calls last confirmed the copy. It returns false if they never have.
 func (f *Freshness) ReadAge(now time.Time) (time.Duration, bool) {
@@ -56,10 +60,3 @@
 	}
 	return now.Sub(f.behindAt)
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/internal/tier/roster/report.go
+++ b/internal/tier/roster/report.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 )
 
@@ -60,7 +61,7 @@
 		}
 		rest := time.Duration(min(rep.RestMs, maxRest.Milliseconds())) * time.Millisecond
 		st.othersLeaving = st.othersLeaving || rep.Leaving
-		st.othersUntil = later(st.othersUntil, now.Add(rest))
+		st.othersUntil = clock.Later(st.othersUntil, now.Add(rest))
 	}
 	slices.Sort(changed)
 	return changed
--- a/internal/tier/roster/roster.go
+++ b/internal/tier/roster/roster.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"kumquatreel.example/kumquatreel/internal/base/clock"
 	"kumquatreel.example/kumquatreel/internal/base/ident"
 	"kumquatreel.example/kumquatreel/internal/base/sets"
 )
@@ -115,7 +116,7 @@
 		m.lostAt, m.reachedAt, m.verified = old.lostAt, old.reachedAt, old.verified
 	}
 	if e.ColdFor > 0 {
-		m.coldUntil = later(m.coldUntil, now.Add(e.ColdFor))
+		m.coldUntil = clock.Later(m.coldUntil, now.Add(e.ColdFor))
 	}
 	switch {
 	case !e.Leaving:
@@ -177,7 +178,7 @@
 		return false
 	}
 	m := *old
-	m.coldUntil = later(m.coldUntil, now.Add(left))
+	m.coldUntil = clock.Later(m.coldUntil, now.Add(left))
 	r.replace(old, &m)
 	return !old.Cold(now)
 }
@@ -276,10 +277,3 @@
 	delete(r.members, m.entry.Server)
 	r.services[s] = slices.DeleteFunc(slices.Clone(r.services[s]), func(o *Member) bool { return o == m })
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
